Take SIGHUP: move the watch to the discovery of the file

A watch at a new address starts from no revision, in 100 ms tries of its own, as the module's pauses (0.5 s and more) would miss the 4 s. Also: the end of the driver or the acceptor ends the node (a panic there left it up and deaf), and a request that the node answers at its deadline with no attempt out is forgotten (it stayed in the held map).

--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -117,6 +117,14 @@
     }
 }
 
+/// The address of discovery that a changed file names. On SIGHUP the file is what is new: the
+/// environment still holds the address of the start.
+pub fn discovery_of(text: &str) -> Result<SocketAddr, Box<dyn Error>> {
+    let file: File = serde_json::from_str(text)?;
+    let text = file.discovery.ok_or("discovery is not set")?;
+    Ok(text.parse().map_err(|e| format!("discovery '{text}': {e}"))?)
+}
+
 fn seed(value: &Value) -> u64 {
     match value {
         Value::String(text) => u64::from_str_radix(text, 16).unwrap_or_else(|_| xxh3_64(text.as_bytes())),
@@ -190,5 +198,7 @@
         assert!(config.settings.may_probe && config.known.entries.is_empty());
         assert_eq!(config.figures.report, ["queue", "util"]);
         assert!(Config::read("{}", &HashMap::new()).is_err());
+        assert_eq!(discovery_of(text).unwrap().port(), 2);
+        assert!(discovery_of("{}").is_err() && discovery_of(&text[..99]).is_err());
     }
 }
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -26,6 +26,10 @@
 const OVERDUE: Duration = Duration::from_millis(5);
 /// Pause before a watch that the module does not ask for is opened again.
 const AGAIN: Duration = Duration::from_millis(500);
+/// Pause before a watch at a new address is opened again, and how often that is done before it is
+/// left to the module: its pauses are longer than the time in which the change has to be known.
+const MOVED_AGAIN: Duration = Duration::from_millis(100);
+const MOVED_TRIES: u32 = 40;
 
 /// A final answer.
 pub enum Answer {
@@ -74,6 +78,8 @@
         from: u32,
         data: Vec<u8>,
     },
+    /// Discovery is at this address from now on.
+    Discovery(SocketAddr),
 }
 
 /// An attempt that is out.
@@ -118,6 +124,8 @@
     /// The number of the present watch, and its task.
     watch: u64,
     watching: Option<AbortOnDrop>,
+    /// Tries that a watch at a new address has left, until its first list.
+    moved: u32,
     tx: mpsc::UnboundedSender<Msg>,
 }
 
@@ -156,6 +164,7 @@
             revision: 0,
             watch: 0,
             watching: None,
+            moved: 0,
             tx,
         }
     }
@@ -194,13 +203,17 @@
                 self.servers.tidy();
                 self.due.insert(Due::Tidy, TIDY);
             }
-            Due::Watch => self.subscribe(),
+            // Unless one was opened meanwhile.
+            Due::Watch if self.watching.is_none() => self.subscribe(),
+            Due::Watch => {}
             Due::Overdue(id) => {
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
                         crate::log::line(format_args!("a request was not answered by its deadline"));
                         let _ = reply.send(Answer::Late);
                         self.events.push_back(Event::Lapsed(request_id(id)));
+                        // One with no attempt out ends here; nothing else would forget it.
+                        self.forget(id);
                     }
                 }
             }
@@ -227,6 +240,13 @@
             Msg::News { watch, news } if watch == self.watch => self.news(news),
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
+            Msg::Discovery(addr) if addr == self.discovery => {}
+            Msg::Discovery(addr) => {
+                // The list stays until the new place has told its own, whole: its revisions may count
+                // other changes.
+                (self.discovery, self.revision, self.moved) = (addr, 0, MOVED_TRIES);
+                self.subscribe();
+            }
         }
     }
 
@@ -278,11 +298,17 @@
         match news {
             News::List(list) => {
                 self.revision = list.revision.unwrap_or(self.revision);
+                self.moved = 0;
                 let (kind, members) = self.servers.apply(&list);
                 self.events.push_back(Event::Sync { kind, members });
             }
             News::Failed => {
                 self.watching = None;
+                if self.moved > 0 {
+                    self.moved -= 1;
+                    self.due.insert(Due::Watch, MOVED_AGAIN);
+                    return;
+                }
                 match self.mode {
                     Discovery::Ask => {
                         self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -34,8 +34,10 @@
 /// Connections past the budget that are told so at a time.
 const OVERFLOW: usize = 32;
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+async fn run(config: Config, path: String) -> Result<(), Box<dyn Error>> {
+    // Before the node is ready: an unhandled SIGHUP ends the process.
     let mut term = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
@@ -57,6 +59,7 @@
         tx.clone(),
     );
     if let Some(peers) = peers {
+        let tx = tx.clone();
         spawn_local(async move {
             loop {
                 let (from, data) = peers.next().await;
@@ -64,13 +67,35 @@
             }
         });
     }
-    spawn_local(driver.run(rx));
-    spawn_local(clients.clone().accept(listener));
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match read(&path).and_then(|text| config::discovery_of(&text)) {
+                Ok(addr) => {
+                    log::line(format_args!("configuration read again: discovery at {addr}"));
+                    let _ = tx.send(Msg::Discovery(addr));
+                }
+                Err(error) => log::line(format_args!("configuration kept: {error}")),
+            }
+        }
+    });
+    let driver = spawn_local(driver.run(rx));
+    let acceptor = spawn_local(clients.clone().accept(listener));
     log::line(format_args!("{} listens on {listen}", config.name));
-    term.recv().await;
-    log::line(format_args!("{} drains", config.name));
-    clients.drain().await;
-    Ok(())
+    let serve = async {
+        term.recv().await;
+        log::line(format_args!("{} drains", config.name));
+        clients.drain().await;
+    };
+    // Without its driver or acceptor a node answers nobody; the platform starts a new one.
+    tokio::select! {
+        () = serve => Ok(()),
+        ended = driver => Err(format!("the driver ended: {ended:?}").into()),
+        ended = acceptor => Err(format!("the acceptor ended: {ended:?}").into()),
+    }
+}
+
+fn read(path: &str) -> Result<String, Box<dyn Error>> {
+    Ok(std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?)
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
@@ -78,10 +103,9 @@
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?;
-    let config = Config::read(&text, &env)?;
+    let config = Config::read(&read(path)?, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(config)))
+    runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
 }
 
 fn main() -> ExitCode {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -142,7 +142,8 @@
     members: Vec<Value>,
     seen: Receiver<Seen>,
     watches: Receiver<(Message, TcpStream)>,
-    _config: tempfile::NamedTempFile,
+    config: Value,
+    file: tempfile::NamedTempFile,
 }
 
 impl Drop for Site {
@@ -192,6 +193,7 @@
         let mut node = Command::new(env!("CARGO_BIN_EXE_woodgap"))
             .env_clear()
             .env("BALANCER_CONFIG", file.path())
+            .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -201,7 +203,7 @@
             .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
             .unwrap();
         thread::spawn(move || log.for_each(drop));
-        Site { node, addr, does, members, seen, watches, _config: file }
+        Site { node, addr, does, members, seen, watches, config, file }
     }
 
     fn all_do(&self, what: Does) {
@@ -234,6 +236,17 @@
         self.seen.try_iter().filter_map(taken).collect()
     }
 
+    fn signal(&self, name: &str) {
+        let pid = self.node.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Replaces the configuration and says so.
+    fn reload(&self, text: &str) {
+        std::fs::write(self.file.path(), text).unwrap();
+        self.signal("-HUP");
+    }
+
     fn watch(&self) -> (Message, TcpStream) {
         self.watches.recv_timeout(PATIENCE).expect("a watch")
     }
@@ -468,8 +481,7 @@
     let mut busy = site.dial();
     busy.write_all(&request("pay", "9", 60_000)).unwrap();
     assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
-    let pid = site.node.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    site.signal("-TERM");
     // New connections are taken for as long as the node lives.
     until("not ready", || {
         let answer = site.raw(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -489,3 +501,35 @@
     }
     assert!(site.node.wait().unwrap().success());
 }
+
+// A node that ended on SIGHUP would lose all that it holds; one that kept to the old discovery, or
+// asked the new one only for what changed, would not know the servers.
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_of_the_file() {
+    let mut site = Site::new(2);
+    let (_, _old) = site.watch();
+    site.reload("{\"discovery\": ");
+    let (tx, watches) = channel();
+    for again in 0..2 {
+        // Nobody listens there at first.
+        let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        site.config["discovery"] = json!(gone.to_string());
+        site.reload(&site.config.to_string());
+        site.config["discovery"] = json!(discovery(tx.clone()).to_string());
+        site.reload(&site.config.to_string());
+        let (request, mut stream) = watches.recv_timeout(PATIENCE).expect("a watch at the new place");
+        assert!(request.first.contains("index=0 "), "{}", request.first);
+        // The old list holds until the new one comes.
+        assert_eq!(site.ask("pay", "1").status(), 200);
+        let list = json!({"revision": 7, "complete": true, "members": [site.members[again]]});
+        chunk(&mut stream, &format!("{list}\n"));
+        until("only the listed server is used", || {
+            site.requests();
+            (0..8).for_each(|n| assert_eq!(site.ask("pay", &format!("{again}{n}")).status(), 200));
+            site.requests().iter().all(|(server, _)| *server == again)
+        });
+    }
+    site.signal("-TERM");
+    site.signal("-HUP");
+    assert!(site.node.wait().unwrap().success());
+}
