Make room for clients: idle and silent connections give way, requests are read strictly

Requests in memory are bounded by memory_mb, which was not read. Turned away: Transfer-Encoding (the library drops a Content-Length beside it), headers that stand twice, a method, body or Idempotency-Key that does not fit the class, an X-Txn that is open here already (409).

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -1,6 +1,7 @@
 //! The clients' side: connections, requests in, answers out.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,38 +9,41 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 use woodgap::settings::Names;
-use woodgap::{ClassId, Key, Semantics, Settings, TenantId};
-use xxhash_rust::xxh3::xxh3_64;
+use woodgap::{ClassId, Settings, TenantId};
 
+use crate::conn::{Conn, Phase, Socket, SLOW};
 use crate::driver::{Answer, Arrival, Msg};
+use crate::request::{drop_hop_headers, Fault, Head};
 use crate::servers::{Call, Servers, LONGEST_BODY};
 use crate::task::{Budget, Permit};
 
 /// Most bytes and fields of a request's head.
 const LONGEST_HEAD: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
-/// The longest wait for a head, idle time between requests included, and for a body.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// An answer must reach the client before it gives up: the client counts from its send, the node
 /// from its read, and the way back takes time too.
 pub const MARGIN: Duration = Duration::from_millis(12);
 /// After SIGTERM new connections and requests still come for up to 0.4 s.
 const DRAIN: Duration = Duration::from_millis(600);
-/// A connection past the budget gets this long to hear that it is refused.
+/// A connection past the budget gets this long to hear that it is refused, and one that comes while
+/// the node closes to send its request.
 const REFUSAL: Duration = Duration::from_secs(1);
 /// When to come back to a node that has no room.
 const OVERFULL: Duration = Duration::from_millis(500);
+/// How often the connections are looked over.
+const LOOK: Duration = Duration::from_millis(100);
+/// How long a newcomer waits for the place of a connection that was closed for it.
+const HANDOVER: Duration = Duration::from_millis(5);
 
 /// What all client connections share.
 pub struct Clients {
@@ -52,12 +56,15 @@
     overflow: Rc<Budget>,
     tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
+    /// Requests that hold memory: from their head to their answer.
     held: Cell<usize>,
-    connections: Cell<usize>,
+    /// What clients call the requests that are open.
+    open: RefCell<HashSet<String>>,
+    next_conn: Cell<u64>,
+    conns: RefCell<HashMap<u64, Rc<Conn>>>,
     draining: Cell<bool>,
     /// Set once idle connections are to go as well.
     closing: Cell<bool>,
-    close: Notify,
     /// Told whenever a connection ends.
     ended: Notify,
 }
@@ -81,10 +88,11 @@
             tx,
             next_id: Cell::new(1),
             held: Cell::new(0),
-            connections: Cell::new(0),
+            open: RefCell::default(),
+            next_conn: Cell::new(0),
+            conns: RefCell::default(),
             draining: Cell::new(false),
             closing: Cell::new(false),
-            close: Notify::new(),
             ended: Notify::new(),
         })
     }
@@ -92,22 +100,13 @@
     /// Accepts for as long as the node lives, after SIGTERM too: what is written to a connection
     /// in the backlog counts as taken.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        spawn_local(self.clone().look_over());
         loop {
-            // Refusals last a second at the most, so this wait is short.
-            while self.overflow.is_full() {
-                self.ended.notified().await;
-            }
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    let permits = match self.budget.take() {
-                        Some(own) => self.servers.permit().await.map(|socket| (own, Some(socket))),
-                        None => None,
-                    };
-                    let refuse = permits.is_none();
-                    if let Some(permits) = permits.or_else(|| Some((self.overflow.take()?, None))) {
-                        spawn_local(self.clone().serve(stream, permits, refuse));
-                    }
+                    let (permits, refuse) = self.place().await;
+                    spawn_local(self.clone().serve(stream, permits, refuse));
                 }
                 Err(error) => {
                     // Out of descriptors, accept fails at once and the connection stays: without
@@ -120,45 +119,87 @@
         }
     }
 
+    /// A place for a newcomer: a free one, that of a connection which nothing is open on, or one
+    /// where it only hears that it is refused. The last wait is short: refusals take a second at most.
+    async fn place(&self) -> ((Permit, Option<Permit>), bool) {
+        loop {
+            if let Some(own) = self.budget.take() {
+                if let Some(socket) = self.servers.permit().await {
+                    return ((own, Some(socket)), false);
+                }
+            }
+            if !self.evict() {
+                if let Some(permit) = self.overflow.take() {
+                    return ((permit, None), true);
+                }
+            }
+            let _ = timeout(HANDOVER, self.ended.notified()).await;
+        }
+    }
+
+    /// Closes the most dispensable connection, if one may be closed.
+    fn evict(&self) -> bool {
+        let conns = self.conns.borrow();
+        let most = conns.values().max_by(|a, b| a.spare().total_cmp(&b.spare()));
+        let most = most.filter(|conn| conn.spare() >= 1.0);
+        most.inspect(|conn| conn.shut(true)).is_some()
+    }
+
+    /// Closes connections on which a request takes too long to come, for as long as the node lives.
+    /// Silent and trickling clients would hold all places.
+    async fn look_over(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            self.conns.borrow().values().filter(|conn| conn.overdue()).for_each(|conn| conn.shut(true));
+        }
+    }
+
     /// Serves a connection until it ends; past the budget only to say so.
     async fn serve(self: Rc<Self>, stream: TcpStream, permits: (Permit, Option<Permit>), refuse: bool) {
-        self.connections.set(self.connections.get() + 1);
         // One that comes this late still gets its one request answered: it counts as taken.
         let last = self.closing.get();
-        let clients = self.clone();
+        let conn = Conn::new(if refuse || last { REFUSAL } else { SLOW });
+        let number = self.next_conn.replace(self.next_conn.get() + 1);
+        self.conns.borrow_mut().insert(number, conn.clone());
+        let (clients, state) = (self.clone(), conn.clone());
         let service = service_fn(move |request| {
-            let clients = clients.clone();
+            let (clients, state) = (clients.clone(), state.clone());
             async move {
-                let mut response =
-                    if refuse { clients.refusal(Some(OVERFULL)) } else { clients.handle(request).await };
-                if refuse || clients.draining.get() {
+                let body_by = state.opened();
+                let (mut response, keep) = if refuse {
+                    (clients.refusal(Some(OVERFULL)), false)
+                } else {
+                    clients.handle(request, body_by).await
+                };
+                if !keep || clients.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
+                state.enter(Phase::Idle);
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(if refuse || last { REFUSAL } else { HEAD_TIMEOUT })
-            .max_buf_size(LONGEST_HEAD)
-            .max_headers(MOST_HEADERS)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        let ended = tokio::select! {
-            _ = connection.as_mut() => true,
-            () = self.close.notified(), if !last => false,
-        };
-        if !ended {
-            // Idle ones end at once, others with their answer.
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        {
+            let connection = http1::Builder::new()
+                .header_read_timeout(None)
+                .max_buf_size(LONGEST_HEAD)
+                .max_headers(MOST_HEADERS)
+                .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
+            let mut connection = std::pin::pin!(connection);
+            loop {
+                tokio::select! {
+                    _ = connection.as_mut() => break,
+                    () = conn.close.notified() => {}
+                }
+                if conn.is_abrupt() {
+                    break;
+                }
+                // Idle ones end at once, others with their answer.
+                connection.as_mut().graceful_shutdown();
+            }
         }
-        self.end(permits);
-    }
-
-    fn end(&self, permits: (Permit, Option<Permit>)) {
+        // The socket is closed: its place may go to another.
+        self.conns.borrow_mut().remove(&number);
         drop(permits);
-        self.connections.set(self.connections.get() - 1);
         self.ended.notify_waiters();
     }
 
@@ -168,102 +209,73 @@
         self.draining.set(true);
         sleep(DRAIN).await;
         self.closing.set(true);
-        self.close.notify_waiters();
+        self.conns.borrow().values().for_each(|conn| conn.shut(false));
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
         let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let all_ended = async {
-            while self.connections.get() > 0 {
+            while !self.conns.borrow().is_empty() {
                 self.ended.notified().await;
             }
         };
         let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// The answer, and whether the connection may be kept after it.
+    async fn handle(&self, request: Request<Incoming>, body_by: Instant) -> (Response<Full<Bytes>>, bool) {
         match request.uri().path() {
             "/-/ready" if request.method() == Method::GET => {
                 let ready = !self.draining.get();
-                plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+                (plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""), true)
             }
-            "/api" => self.call(request).await.unwrap_or_else(|(status, why)| plain(status, why)),
-            _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
+            "/api" => match self.call(request, body_by).await {
+                Ok(response) => (response, true),
+                // Who sends what can't be used is not trusted with where its next request begins.
+                Err((status, why)) => (plain(status, why), false),
+            },
+            _ => (plain(StatusCode::NOT_FOUND, "no such path\n"), false),
         }
     }
 
     async fn call(
         &self,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, (StatusCode, &'static str)> {
-        let came = Instant::now();
-        let bad = |why| (StatusCode::BAD_REQUEST, why);
-        let (head, body) = request.into_parts();
-        let text = |name: &str| head.headers.get(name).map(HeaderValue::to_str).transpose();
-        if text("x-txn").map_err(|_| bad("X-Txn is not text\n"))?.is_none_or(str::is_empty) {
-            return Err(bad("X-Txn is missing\n"));
-        }
-        let class = text("x-lane").ok().flatten().and_then(|name| self.names.class(name));
-        let class = class.ok_or(bad("X-Lane names no known class\n"))?;
-        let tenant = match text("x-org").map_err(|_| bad("X-Org is not text\n"))? {
-            None => None,
-            Some(name) => Some(self.names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
-        };
-        let class_of = &self.settings.classes[class];
-        let keyed = matches!(class_of.semantics, Semantics::Keyed { .. });
-        if keyed && !head.headers.contains_key("idempotency-key") {
-            return Err(bad("Idempotency-Key is missing\n"));
-        }
-        if head.method != Method::GET && head.method != Method::POST {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "GET or POST\n"));
-        }
-        let whole = Duration::from_micros(class_of.deadline);
-        let patience = match text("x-remaining-ms").map_err(|_| bad("X-Remaining-Ms is not text\n"))? {
-            None => whole,
-            Some(text) => {
-                let ms: u64 = text.trim().parse().map_err(|_| bad("X-Remaining-Ms is no whole number\n"))?;
-                Duration::from_millis(ms).min(whole)
-            }
-        };
-        let too_long = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n");
-        if body.size_hint().lower() > LONGEST_BODY as u64 {
-            return Err(too_long);
+        body_by: Instant,
+    ) -> Result<Response<Full<Bytes>>, Fault> {
+        let (parts, body) = request.into_parts();
+        let head = Head::read(parts, body.size_hint().lower(), &self.settings, &self.names)?;
+        if self.held.get() >= self.open_cap {
+            return Ok(self.refusal(Some(OVERFULL)));
         }
-        let body = match timeout(BODY_TIMEOUT, Limited::new(body, LONGEST_BODY).collect()).await {
+        let _memory = Counted::new(&self.held);
+        let body = match timeout_at(body_by, Limited::new(body, LONGEST_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_long),
-            Ok(Err(_)) => return Err(bad("the body is broken\n")),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
+            }
+            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
-        // The client's clock runs from its send, which a request that came in one piece was read
-        // soon after; one whose body took long has used up more of its time.
-        let deadline = came + patience.saturating_sub(MARGIN);
-        if self.held.get() >= self.open_cap {
-            return Ok(self.refusal(Some(OVERFULL)));
-        }
-        let key = head.uri.query().and_then(key_of);
-        let repeat = text("x-resent").ok().flatten() == Some("1");
-        let cost = text("x-estimate").ok().flatten().and_then(|text| text.trim().parse().ok());
-        let target = match head.uri.path_and_query() {
-            Some(target) => Uri::from(target.clone()),
-            None => return Err(bad("no path\n")),
+        // A request's time counts from its last byte.
+        let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
+        let id = self.next_id.replace(self.next_id.get() + 1);
+        // Servers tell requests apart by what clients call them: a second one under an open id would
+        // run its effect twice, or be answered with the other's answer.
+        let Some(_waiting) = Waiting::new(self, id, head.txn) else {
+            return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
         };
-        let mut headers = head.headers;
-        drop_hop_headers(&mut headers);
-        let id = self.next_id.get();
-        self.next_id.set(id + 1);
         let (reply, answer) = oneshot::channel();
         let arrival = Arrival {
             id,
-            class: ClassId(class),
-            tenant: tenant.map(TenantId),
-            key,
-            repeat,
-            cost,
+            class: ClassId(head.class),
+            tenant: head.tenant.map(TenantId),
+            key: head.key,
+            repeat: head.repeat,
+            cost: head.cost,
             deadline,
-            call: Rc::new(Call { method: head.method, target, headers, body }),
+            call: Rc::new(Call { method: head.method, target: head.target, headers: head.headers, body }),
             reply,
         };
-        let _waiting = Waiting::new(self, id);
         if self.tx.send(Msg::Request(Box::new(arrival))).is_err() {
             return Ok(self.refusal(Some(OVERFULL)));
         }
@@ -287,22 +299,40 @@
     }
 }
 
+/// One more of something, until dropped.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A request that waits for its answer. The connection's future drops it when the client goes.
 struct Waiting<'a> {
     clients: &'a Clients,
     id: u64,
+    txn: String,
 }
 
 impl<'a> Waiting<'a> {
-    fn new(clients: &'a Clients, id: u64) -> Self {
-        clients.held.set(clients.held.get() + 1);
-        Waiting { clients, id }
+    /// `None` where the client's name for it is taken.
+    fn new(clients: &'a Clients, id: u64, txn: String) -> Option<Self> {
+        let new = clients.open.borrow_mut().insert(txn.clone());
+        new.then(|| Waiting { clients, id, txn })
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.clients.held.set(self.clients.held.get() - 1);
+        self.clients.open.borrow_mut().remove(&self.txn);
         // For one that was answered the driver has forgotten the id, or knows it as ended.
         let _ = self.clients.tx.send(Msg::Gone(self.id));
     }
@@ -321,36 +351,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-/// Leaves out what belongs to one connection, and the framing, which is made anew.
-fn drop_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-        "content-length",
-    ] {
-        headers.remove(name);
-    }
-}
-
-/// The key of a query, folded to below 2^53 in the same way at every node.
-fn key_of(query: &str) -> Option<Key> {
-    let key = query.split('&').find_map(|pair| pair.strip_prefix("key="))?;
-    (!key.is_empty()).then(|| Key(xxh3_64(key.as_bytes()) >> 11))
-}
--- a/src/bin/woodgap/config.rs
+++ b/src/bin/woodgap/config.rs
@@ -38,11 +38,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 128.0 }
     }
 }
 
@@ -54,6 +55,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
     pub peer_listen: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub peers_all: Option<SocketAddr>,
@@ -106,6 +109,7 @@
             discovery: address("BALANCER_DISCOVERY", file.discovery)?,
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
+            memory: (file.limits.memory_mb.max(1.0) * f64::from(1 << 20)) as usize,
             peer_listen: file.peer_listen.as_ref().map(parse).transpose()?,
             peers: file.peers.iter().map(parse).collect::<Result<_, _>>()?,
             peers_all: file.peers_all.as_ref().map(parse).transpose()?,
@@ -193,6 +197,7 @@
         let env = HashMap::from([("BALANCER_LISTEN".to_owned(), "127.0.0.1:9".to_owned())]);
         let config = Config::read(text, &env).unwrap();
         assert_eq!((config.seed, config.sockets, config.listen.port()), (0xff, 77, 9));
+        assert_eq!(config.memory, 192 << 20);
         assert_eq!((config.settings.group_size, config.settings.max_attempts), (3, 5));
         assert_eq!((config.settings.classes[0].aim, config.names.class("pay")), (500_000, Some(0)));
         assert!(config.settings.may_probe && config.known.entries.is_empty());
--- /dev/null
+++ b/src/bin/woodgap/conn.rs
@@ -0,0 +1,166 @@
+//! A client connection as the node sees it: what it waits for and since when.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The longest time from connecting, or from a later request's first byte, to the request's last:
+/// clients that say nothing or little hold a place that others need.
+pub const SLOW: Duration = Duration::from_millis(2_500);
+/// The longest idle time between requests.
+const IDLE: Duration = Duration::from_secs(60);
+/// Where places are short, a connection with nothing open on it may be closed after this time; one
+/// that has not said a word since it was opened after the shorter one.
+const SPARE_IDLE: Duration = Duration::from_secs(2);
+const SPARE_SILENT: Duration = Duration::from_millis(500);
+
+/// What a connection is about.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    /// Nothing has been answered on it and no head is whole.
+    New,
+    /// A later request has begun to come.
+    Head,
+    /// A request is open.
+    Open,
+    /// Between requests.
+    Idle,
+    /// It is being closed.
+    Closing,
+}
+
+/// The state of a connection, shared by its socket, its service and the look-over.
+pub struct Conn {
+    phase: Cell<Phase>,
+    since: Cell<Instant>,
+    /// Whether it is closed at once, or with the answer to the request that may be open.
+    abrupt: Cell<bool>,
+    pub close: Notify,
+    /// When the first request must have come.
+    first_by: Instant,
+}
+
+impl Conn {
+    pub fn new(first: Duration) -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Conn {
+            phase: Cell::new(Phase::New),
+            since: Cell::new(now),
+            abrupt: Cell::new(false),
+            close: Notify::new(),
+            first_by: now + first,
+        })
+    }
+
+    pub fn enter(&self, phase: Phase) {
+        if self.phase.get() != Phase::Closing {
+            self.phase.set(phase);
+            self.since.set(Instant::now());
+        }
+    }
+
+    /// A head has come whole; tells by when its body must have.
+    pub fn opened(&self) -> Instant {
+        let by = match self.phase.get() {
+            Phase::New => self.first_by,
+            Phase::Head => self.since.get() + SLOW,
+            _ => Instant::now() + SLOW,
+        };
+        self.enter(Phase::Open);
+        by
+    }
+
+    /// Whether a request has taken too long to come, or none has come for long.
+    pub fn overdue(&self) -> bool {
+        match self.phase.get() {
+            Phase::New => Instant::now() > self.first_by,
+            Phase::Head => self.since.get().elapsed() > SLOW,
+            Phase::Idle => self.since.get().elapsed() > IDLE,
+            Phase::Open | Phase::Closing => false,
+        }
+    }
+
+    /// How dispensable the connection is where places are short; from 1 on it may be closed.
+    pub fn spare(&self) -> f64 {
+        let after = match self.phase.get() {
+            Phase::New => SPARE_SILENT,
+            Phase::Idle => SPARE_IDLE,
+            Phase::Head | Phase::Open | Phase::Closing => return 0.0,
+        };
+        self.since.get().elapsed().as_secs_f64() / after.as_secs_f64()
+    }
+
+    /// Has it closed. `abrupt` is for those on which no request is open.
+    pub fn shut(&self, abrupt: bool) {
+        if abrupt {
+            self.phase.set(Phase::Closing);
+        }
+        self.abrupt.set(self.abrupt.get() || abrupt);
+        self.close.notify_one();
+    }
+
+    pub fn is_abrupt(&self) -> bool {
+        self.abrupt.get()
+    }
+}
+
+/// A client's socket, which tells its connection when a request begins to come.
+pub struct Socket {
+    stream: TcpStream,
+    conn: Rc<Conn>,
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream, conn: Rc<Conn>) -> Self {
+        Socket { stream, conn }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let ready = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && self.conn.phase.get() == Phase::Idle {
+            self.conn.enter(Phase::Head);
+        }
+        ready
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -6,10 +6,12 @@
 
 mod clients;
 mod config;
+mod conn;
 mod discovery;
 mod driver;
 mod log;
 mod peers;
+mod request;
 mod servers;
 mod task;
 
@@ -30,9 +32,14 @@
 
 /// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
 /// listener, discovery, the peers' socket, and some that the system has not closed yet.
-const RESERVE: usize = 64;
+const RESERVE: usize = 24;
 /// Connections past the budget that are told so at a time.
-const OVERFLOW: usize = 32;
+const OVERFLOW: usize = 16;
+/// Clients' part of the sockets: requests in flight need as many to servers, and clients keep idle
+/// connections too.
+const CLIENTS: f64 = 0.6;
+/// A request held may have a whole body and a whole answer in memory; half of it is for them.
+const HELD_BYTES: usize = 4 * servers::LONGEST_BODY;
 
 async fn run(config: Config, path: String) -> Result<(), Box<dyn Error>> {
     // Before the node is ready: an unhandled SIGHUP ends the process.
@@ -45,7 +52,6 @@
         None => None,
     };
     let (tx, rx) = mpsc::unbounded_channel();
-    // Each request held needs a socket of its client's and one of a server's.
     let all = config.sockets.saturating_sub(RESERVE + OVERFLOW).max(2);
     let servers = Servers::new(config.figures.clone(), Budget::new(all));
     let mut driver = Driver::new(&config, servers.clone(), peers.clone(), tx.clone());
@@ -53,9 +59,9 @@
     let clients = Clients::new(
         config.settings,
         config.names,
-        config.figures.open_cap,
+        config.figures.open_cap.min((config.memory / HELD_BYTES).max(1)),
         servers,
-        (Budget::new(all / 2), Budget::new(OVERFLOW)),
+        (Budget::new((all as f64 * CLIENTS) as usize), Budget::new(OVERFLOW)),
         tx.clone(),
     );
     if let Some(peers) = peers {
--- /dev/null
+++ b/src/bin/woodgap/request.rs
@@ -0,0 +1,144 @@
+//! What a client's request must be like: read from its head, or turned away.
+
+use std::time::Duration;
+
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode, Uri};
+use woodgap::settings::Names;
+use woodgap::{Key, Micros, Semantics, Settings};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::servers::LONGEST_BODY;
+
+/// The longest id of a request.
+const LONGEST_ID: usize = 128;
+/// Headers that mean something to the node, to servers or to both: of two, one may read the first and
+/// the other the last.
+const SINGLE: [HeaderName; 3] = [header::HOST, header::CONTENT_LENGTH, header::EXPECT];
+const SINGLE_NAMED: [&str; 8] =
+    ["x-txn", "x-lane", "x-org", "x-remaining-ms", "x-resent", "x-estimate", "x-labels", "idempotency-key"];
+
+/// Why a request is turned away.
+pub type Fault = (StatusCode, &'static str);
+
+/// A request's head, read.
+pub struct Head {
+    /// What the client calls it.
+    pub txn: String,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub patience: Duration,
+    pub key: Option<Key>,
+    pub repeat: bool,
+    pub cost: Option<Micros>,
+    pub method: Method,
+    pub target: Uri,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+}
+
+fn bad(why: &'static str) -> Fault {
+    (StatusCode::BAD_REQUEST, why)
+}
+
+impl Head {
+    /// Reads a head. `body` tells how much body there is at least.
+    pub fn read(head: Parts, body: u64, settings: &Settings, names: &Names) -> Result<Head, Fault> {
+        let headers = &head.headers;
+        // The library drops a Content-Length beside it without a trace, so the two can't be told
+        // from one: such a request may hide another in its body.
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err((StatusCode::LENGTH_REQUIRED, "send a Content-Length, no Transfer-Encoding\n"));
+        }
+        let twice = |count: usize| count > 1;
+        if SINGLE.iter().any(|name| twice(headers.get_all(name).iter().count()))
+            || SINGLE_NAMED.iter().any(|name| twice(headers.get_all(*name).iter().count()))
+        {
+            return Err(bad("a header stands twice\n"));
+        }
+        if !headers.contains_key(header::HOST) {
+            return Err(bad("Host is missing\n"));
+        }
+        if head.method != Method::GET && head.method != Method::POST {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "GET or POST\n"));
+        }
+        if body > LONGEST_BODY as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"));
+        }
+        let text = |name: &str| headers.get(name).map(HeaderValue::to_str).transpose();
+        let txn = text("x-txn").map_err(|_| bad("X-Txn is not text\n"))?.unwrap_or("");
+        if txn.is_empty() || txn.len() > LONGEST_ID {
+            return Err(bad("X-Txn is missing or too long\n"));
+        }
+        let class = text("x-lane").ok().flatten().and_then(|name| names.class(name));
+        let class = class.ok_or(bad("X-Lane names no known class\n"))?;
+        let tenant = match text("x-org").map_err(|_| bad("X-Org is not text\n"))? {
+            None => None,
+            Some(name) => Some(names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
+        };
+        let class_of = &settings.classes[class];
+        let (safe, keyed) = match class_of.semantics {
+            Semantics::Safe => (true, false),
+            Semantics::Keyed { .. } => (false, true),
+            Semantics::Unsafe => (false, false),
+        };
+        // Servers go by the method and the key: one that says something else than the class would be
+        // repeated by the wrong rule.
+        if (head.method == Method::GET) != safe || (safe && body > 0) {
+            return Err(bad("the method or the body does not fit the class\n"));
+        }
+        if headers.contains_key("idempotency-key") != keyed {
+            return Err(bad("Idempotency-Key does not fit the class\n"));
+        }
+        let whole = Duration::from_micros(class_of.deadline);
+        let patience = match text("x-remaining-ms").map_err(|_| bad("X-Remaining-Ms is not text\n"))? {
+            None => whole,
+            Some(text) => {
+                let ms: u64 = text.trim().parse().map_err(|_| bad("X-Remaining-Ms is no whole number\n"))?;
+                Duration::from_millis(ms).min(whole)
+            }
+        };
+        let key = head.uri.query().and_then(key_of);
+        let repeat = text("x-resent").ok().flatten() == Some("1");
+        let cost = text("x-estimate").ok().flatten().and_then(|text| text.trim().parse().ok());
+        let target = head.uri.path_and_query().cloned().map(Uri::from).ok_or(bad("no path\n"))?;
+        let txn = txn.to_owned();
+        let mut headers = head.headers;
+        drop_hop_headers(&mut headers);
+        Ok(Head { txn, class, tenant, patience, key, repeat, cost, method: head.method, target, headers })
+    }
+}
+
+/// Leaves out what belongs to one connection, and the framing, which is made anew.
+pub fn drop_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// The key of a query, folded to below 2^53 in the same way at every node.
+fn key_of(query: &str) -> Option<Key> {
+    let key = query.split('&').find_map(|pair| pair.strip_prefix("key="))?;
+    (!key.is_empty()).then(|| Key(xxh3_64(key.as_bytes()) >> 11))
+}
