End spoilt answers alone and at once; look at a connection before it is used again

Seen: by tests over loopback, before the change: a second copy that comes 1 to 4 ms after an answer was taken for the answer to the next request (servers.rs keep and idle_link used the latest connection first, at once); a 200 without framing or with a length it does not keep to held its request to the deadline (exchange, collect). Now a connection rests 10 ms and the system is asked for waiting bytes before reuse; reading is bounded per request (heads, 1xx, bodies); a wrong length, two framings, none, 101 or a body that stands still for 0.5 s end the attempt as an error of that connection. A report is read whole or not at all. A server whose address another has is written nothing. servers.rs is split: exchange.rs has one connection and one request on it.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -23,8 +23,9 @@
 
 use crate::conn::{Conn, Phase, Socket, SLOW};
 use crate::driver::{Answer, Arrival, Msg};
+use crate::exchange::{Call, LONGEST_BODY};
 use crate::request::{drop_hop_headers, Fault, Head};
-use crate::servers::{Call, Servers, LONGEST_BODY};
+use crate::servers::Servers;
 use crate::task::{Budget, Permit};
 
 /// Most bytes and fields of a request's head.
--- a/src/bin/woodgap/driver.rs
+++ b/src/bin/woodgap/driver.rs
@@ -17,8 +17,9 @@
 };
 
 use crate::discovery::{watch, List, News};
+use crate::exchange::Call;
 use crate::peers::Peers;
-use crate::servers::{Call, Ended, Servers, TIDY};
+use crate::servers::{Ended, Servers, TIDY};
 use crate::task::AbortOnDrop;
 
 /// The module answers at the deadline it was given; what it has not answered this much later, the
--- a/src/bin/woodgap/main.rs
+++ b/src/bin/woodgap/main.rs
@@ -9,6 +9,7 @@
 mod conn;
 mod discovery;
 mod driver;
+mod exchange;
 mod log;
 mod peers;
 mod request;
@@ -39,7 +40,7 @@
 /// connections too.
 const CLIENTS: f64 = 0.6;
 /// A request held may have a whole body and a whole answer in memory; half of it is for them.
-const HELD_BYTES: usize = 4 * servers::LONGEST_BODY;
+const HELD_BYTES: usize = 4 * exchange::LONGEST_BODY;
 
 async fn run(config: Config, path: String) -> Result<(), Box<dyn Error>> {
     // Before the node is ready: an unhandled SIGHUP ends the process.
--- a/src/bin/woodgap/request.rs
+++ b/src/bin/woodgap/request.rs
@@ -9,7 +9,7 @@
 use woodgap::{Key, Micros, Semantics, Settings};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::servers::LONGEST_BODY;
+use crate::exchange::LONGEST_BODY;
 
 /// The longest id of a request.
 const LONGEST_ID: usize = 128;
--- a/src/bin/woodgap/servers.rs
+++ b/src/bin/woodgap/servers.rs
@@ -8,34 +8,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, HOST};
-use hyper::{Method, Request, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
 use tokio::time::{timeout_at, Instant};
 use woodgap::settings::Zones;
 use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
 use crate::config::Figures;
 use crate::discovery::{server_number, List};
-use crate::task::{AbortOnDrop, Budget, Permit};
+use crate::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
+use crate::task::{Budget, Permit};
 
-/// The longest body of a request or an answer.
-pub const LONGEST_BODY: usize = 64 * 1024;
 /// Connections are reused for this part of the time that servers keep them: a request that meets
 /// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
 const REUSE: f64 = 0.6;
 
-/// A client's request as it goes on to servers, headers of one connection left out.
-pub struct Call {
-    pub method: Method,
-    pub target: Uri,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// How an attempt ended.
 pub struct Ended {
     pub outcome: Outcome,
@@ -50,15 +37,6 @@
     }
 }
 
-/// A connection to a server. Closed when dropped.
-struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    _connection: AbortOnDrop,
-    /// The server's epoch when it was opened.
-    epoch: u64,
-    idle_since: Instant,
-}
-
 struct Entry {
     addr: SocketAddr,
     since_ms: u64,
@@ -69,6 +47,8 @@
     idle: Vec<Link>,
     /// Since when it wants nothing new.
     barred: Option<Instant>,
+    /// Another server listens at its address now.
+    replaced: bool,
 }
 
 /// All servers on the list.
@@ -81,15 +61,6 @@
     zones: RefCell<Zones>,
 }
 
-/// What a request on a connection came to.
-enum Exchange {
-    /// Nothing of it was written.
-    Unsent,
-    /// The connection broke; it may have run.
-    Broken,
-    Answer(StatusCode, HeaderMap, Bytes),
-}
-
 impl Servers {
     pub fn new(figures: Figures, budget: Rc<Budget>) -> Rc<Self> {
         Rc::new(Servers {
@@ -110,6 +81,7 @@
         let mut names = self.names.borrow_mut();
         let mut zones = self.zones.borrow_mut();
         let mut members = Vec::with_capacity(list.entries.len());
+        let mut in_service = Vec::new();
         for entry in &list.entries {
             let number = server_number(&entry.id, &names);
             let server = ServerId(number);
@@ -133,6 +105,7 @@
                 epoch: self.next_epoch(),
                 idle: Vec::new(),
                 barred: None,
+                replaced: false,
             });
             // A restarted process, or one that moved, knows nothing of the old connections.
             if (known.addr, known.since_ms) != (entry.addr, entry.up_since_ms) {
@@ -141,12 +114,22 @@
                 known.idle.clear();
             }
             if entry.state == ServerState::InService {
-                known.barred = None;
+                (known.barred, known.replaced) = (None, false);
+                in_service.push((server, entry.addr));
             } else {
                 known.barred.get_or_insert_with(Instant::now);
                 known.idle.clear();
             }
         }
+        // A machine that took over another's address: what is meant for the old one must not reach it.
+        let taken: HashMap<SocketAddr, ServerId> =
+            in_service.into_iter().map(|(id, addr)| (addr, id)).collect();
+        for (server, entry) in entries.iter_mut() {
+            if taken.get(&entry.addr).is_some_and(|owner| owner != server) {
+                entry.replaced = true;
+                entry.idle.clear();
+            }
+        }
         if list.complete {
             let listed: std::collections::HashSet<ServerId> = members.iter().map(|m| m.server).collect();
             entries.retain(|server, _| listed.contains(server));
@@ -167,7 +150,7 @@
         let entries = self.entries.borrow();
         let entry = entries.get(&server)?;
         let late = entry.barred.is_some_and(|since| since.elapsed() > self.figures.drain_grace / 2);
-        (!late).then_some((entry.addr, entry.epoch))
+        (!late && !entry.replaced).then_some((entry.addr, entry.epoch))
     }
 
     // Connections.
@@ -183,7 +166,7 @@
     pub fn tidy(&self) {
         let longest = self.figures.keepalive.mul_f64(REUSE);
         for entry in self.entries.borrow_mut().values_mut() {
-            entry.idle.retain(|link| !link.sender.is_closed() && link.idle_since.elapsed() < longest);
+            entry.idle.retain(|link| !link.is_closed() && link.idle_since.elapsed() < longest);
         }
     }
 
@@ -194,12 +177,14 @@
         oldest.map(|entry| drop(entry.idle.remove(0))).is_some()
     }
 
+    /// The connection used last of those that have rested and nothing came on.
     fn idle_link(&self, server: ServerId) -> Option<Link> {
         let longest = self.figures.keepalive.mul_f64(REUSE);
         let mut entries = self.entries.borrow_mut();
         let entry = entries.get_mut(&server)?;
-        while let Some(link) = entry.idle.pop() {
-            if !link.sender.is_closed() && link.idle_since.elapsed() < longest {
+        while let Some(place) = entry.idle.iter().rposition(|link| link.idle_since.elapsed() >= SETTLE) {
+            let link = entry.idle.remove(place);
+            if link.is_clean() && link.idle_since.elapsed() < longest {
                 return Some(link);
             }
         }
@@ -209,7 +194,8 @@
     fn keep(&self, server: ServerId, mut link: Link) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&server) else { return };
-        if entry.epoch == link.epoch && entry.barred.is_none() && !link.sender.is_closed() {
+        let wanted = entry.barred.is_none() && !entry.replaced;
+        if entry.epoch == link.epoch && wanted && !link.is_closed() {
             link.idle_since = Instant::now();
             entry.idle.push(link);
         }
@@ -231,19 +217,7 @@
 
     async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<Link> {
         let permit = self.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
-        let stream = TcpStream::connect(addr).await?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = http1::Builder::new()
-            .max_headers(64)
-            .max_buf_size(LONGEST_BODY)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        let connection = AbortOnDrop::spawn(async move {
-            let _permit = permit;
-            let _ = connection.await;
-        });
-        Ok(Link { sender, _connection: connection, epoch, idle_since: Instant::now() })
+        Link::dial(addr, epoch, permit).await
     }
 
     // Attempts.
@@ -262,7 +236,7 @@
                     }
                 }
             };
-            if !matches!(timeout_at(until, link.sender.ready()).await, Ok(Ok(()))) {
+            if !matches!(timeout_at(until, link.ready()).await, Ok(Ok(()))) {
                 if reused {
                     continue;
                 }
@@ -277,8 +251,9 @@
                     return Outcome::ConnectFailed.into();
                 }
             }
-            let exchange = exchange(&mut link.sender, request(call, addr, until));
-            match timeout_at(until, exchange).await {
+            match timeout_at(until, link.exchange(request(call, addr, until))).await {
+                // One that began to answer is there; only the answer is no good.
+                Err(_) if link.heard() => return Outcome::Error.into(),
                 // A server that answered nothing may be gone: its idle connections would swallow
                 // what is sent next, where a new one would tell.
                 Err(_) => {
@@ -287,9 +262,12 @@
                 }
                 Ok(Exchange::Unsent) if reused => continue,
                 Ok(Exchange::Unsent) => return Outcome::ConnectFailed.into(),
+                Ok(Exchange::Broken) if link.heard() => return Outcome::Error.into(),
                 Ok(Exchange::Broken) => return Outcome::Reset.into(),
-                Ok(Exchange::Answer(status, headers, body)) => {
-                    self.keep(server, link);
+                Ok(Exchange::Answer { status, headers, body, reusable }) => {
+                    if reusable {
+                        self.keep(server, link);
+                    }
                     let load = load(&headers, &self.figures.report);
                     let outcome = outcome(status, &headers);
                     let answer = (outcome == Outcome::Ok).then_some((headers, body));
@@ -313,56 +291,6 @@
     }
 }
 
-fn request(call: &Call, addr: SocketAddr, until: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.target.clone();
-    *request.headers_mut() = call.headers.clone();
-    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-    let headers = request.headers_mut();
-    headers.insert("x-remaining-ms", HeaderValue::from(left.max(1)));
-    if !headers.contains_key(HOST) {
-        if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
-            headers.insert(HOST, host);
-        }
-    }
-    request
-}
-
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Exchange {
-    let response = match sender.try_send_request(request).await {
-        Ok(response) => response,
-        // Only a message that comes back is certain not to have gone out.
-        Err(error) if error.message().is_some() => return Exchange::Unsent,
-        Err(_) => return Exchange::Broken,
-    };
-    let (head, body) = response.into_parts();
-    // The whole body first: an answer that breaks half-way is still an outcome, and the client
-    // has seen nothing of it.
-    match Limited::new(body, LONGEST_BODY).collect().await {
-        Ok(body) => Exchange::Answer(head.status, head.headers, body.to_bytes()),
-        Err(_) => Exchange::Broken,
-    }
-}
-
-/// What an answer means. Only the header proves that a request was turned away unseen: 503 and
-/// 504 without it may come from a request that ran.
-fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
-    let turned_away = headers.get("x-turned-away").is_some_and(|value| value == "1");
-    match status {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Full,
-        _ => Outcome::Error,
-    }
-}
-
-/// A load report, in the order of the settings; one that can't be read whole is none.
-fn load(headers: &HeaderMap, fields: &[String]) -> Vec<f64> {
-    let Some(text) = headers.get("x-pressure") else { return Vec::new() };
-    let report: HashMap<String, f64> = serde_json::from_slice(text.as_bytes()).unwrap_or_default();
-    fields.iter().map_while(|field| report.get(field).copied()).collect()
-}
-
 /// How often `Servers::tidy` is due.
 pub const TIDY: Duration = Duration::from_millis(500);
 
@@ -432,6 +360,7 @@
             let (_, members) = servers.apply(&list(old, ServerState::InService, true));
             let server = members[0].server;
             assert_eq!(servers.attempt(server, &call(), soon()).await.answer.unwrap().1, "old");
+            tokio::time::sleep(SETTLE * 2).await;
             let link = servers.idle_link(server).expect("kept");
             servers.apply(&list(old, ServerState::Terminated, false));
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
@@ -492,14 +421,21 @@
         LocalSet::new().run_until(run).await;
     }
 
-    #[test]
-    fn only_the_header_proves_that_a_request_was_turned_away() {
-        let mut headers = HeaderMap::new();
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Error);
-        headers.insert("x-turned-away", HeaderValue::from_static("1"));
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &headers), Outcome::Error);
-        assert_eq!(outcome(StatusCode::OK, &headers), Outcome::Ok);
+    // A machine that took over another's address must not get what is meant for the old one.
+    #[tokio::test]
+    async fn nothing_is_written_to_a_server_whose_address_another_has() {
+        let run = async {
+            let servers = servers(8);
+            let addr = named("x").await;
+            let old = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            assert_eq!(servers.attempt(old, &call(), soon()).await.outcome, Outcome::Ok);
+            let mut change = list(addr, ServerState::InService, false);
+            change.entries[0].id = "s-2".into();
+            let new = servers.apply(&change).1[0].server;
+            assert!(servers.idle_link(old).is_none());
+            assert_eq!(servers.attempt(old, &call(), soon()).await.outcome, Outcome::ConnectFailed);
+            assert_eq!(servers.attempt(new, &call(), soon()).await.outcome, Outcome::Ok);
+        };
+        LocalSet::new().run_until(run).await;
     }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -53,6 +53,10 @@
     Serve,
     /// Answers this status with these header lines.
     Answer(&'static str),
+    /// Answers these bytes this many times.
+    Raw(&'static str, usize),
+    /// Serves, and sends the answer again after this many milliseconds.
+    ServeTwice(u64),
     /// Closes the connection unanswered.
     Break,
     /// Promises more of a body than it sends.
@@ -91,10 +95,16 @@
                         }
                         thread::sleep(Duration::from_millis(5));
                     };
+                    let served = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
                     let reply = match does {
-                        Does::Serve | Does::ServeAndClose => {
-                            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len())
+                        Does::Serve | Does::ServeAndClose => served,
+                        Does::ServeTwice(0) => served.repeat(2),
+                        Does::ServeTwice(later) => {
+                            let _ = output.write_all(served.as_bytes());
+                            thread::sleep(Duration::from_millis(later));
+                            served
                         }
+                        Does::Raw(text, times) => text.repeat(times),
                         Does::Answer(head) => format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
                         Does::BreakHalfway => "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nabc".to_owned(),
                         Does::Break => return,
@@ -352,6 +362,56 @@
     }
 }
 
+// What can't be the answer must not reach the client as one, nor hold its request until the deadline.
+#[test]
+fn a_spoilt_answer_ends_its_attempt_alone() {
+    let spoilt: [(&str, usize); 10] = [
+        ("\u{1}\u{2} noise\r\n\r\n", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\n\r\nabc", 1),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 1),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 1),
+        ("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", 1),
+        ("HTTP/1.1 200 OK\r\nX-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", 2_000),
+        ("HTTP/1.1 100 Continue\r\n\r\n", 20_000),
+    ];
+    for (text, times) in spoilt {
+        let site = Site::new(2);
+        site.all_do(Does::Raw(text, times));
+        let status = site.ask("pay", "1").status();
+        assert!(![200, 429, 503].contains(&status), "{text}: {status}");
+        assert_eq!(site.requests().len(), 1, "{text}");
+        site.all_do(Does::Serve);
+        until("served again", || site.ask("look", "2").body == b"2");
+    }
+}
+
+#[test]
+fn what_comes_ahead_of_a_good_answer_or_with_it_does_no_harm() {
+    let site = Site::new(1);
+    let answer = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\
+        HTTP/1.1 200 OK\r\nX-Pressure: {\"queue\":\r\nContent-Length: 2\r\n\r\nok";
+    site.all_do(Does::Raw(answer, 1));
+    for n in 0..4 {
+        assert_eq!(site.ask("pay", &n.to_string()).body, b"ok");
+    }
+}
+
+// A second copy of an answer must never be taken for the answer to the next request.
+#[test]
+fn a_second_copy_answers_nobody() {
+    for later in [0, 1, 2, 4] {
+        let site = Site::new(1);
+        site.all_do(Does::ServeTwice(later));
+        for n in 0..20 {
+            let id = format!("{later}-{n}");
+            assert_eq!(site.ask("pay", &id).body, id.as_bytes());
+        }
+    }
+}
+
 #[test]
 fn an_unsafe_request_turned_away_unseen_is_refused_or_served_elsewhere() {
     let site = Site::new(2);
