Give attempts 8 and not 4 means: heavy requests were run twice

A probe of the module: LATE at 4 means cuts the natural tail of the work; the next server takes as long, cancels stop nothing, and each time-out counts as a late answer and cuts the limit (downs 20 to 40 a second).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -71,8 +71,9 @@
 /// Part of the requests that may be sent again after they may have run, and the burst of it.
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_BURST: f64 = 20.0;
-/// An attempt is late past this multiple of its class's norm: sooner repeats more work.
-const LATE: f64 = 4.0;
+/// An attempt is late past this multiple of its class's norm. Sooner repeats more work: heavy requests
+/// are heavy again on the next server, and a time-out need not stop the first one.
+const LATE: f64 = 8.0;
 
 /// Part of the limit that requests of the lowest worth leave free for others.
 const RESERVE: f64 = 0.3;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -508,3 +508,20 @@
     };
     assert!(in_flight(20) <= 12, "{} in flight", in_flight(20));
 }
+
+// Guards against work done twice or never: a request a few times heavier than the mean is as heavy on
+// the next server, so its attempt is given up only where an answer has become unlikely.
+#[test]
+fn a_heavy_request_is_not_given_up_early() {
+    let mut node = Node::fleet(10);
+    for n in 0..300 {
+        let server = node.place(n, SAFE, n);
+        node.close(n, 0, server, Outcome::Ok);
+    }
+    // The mean is 20 ms by now.
+    let actions = node.ask(1000, SAFE, 5);
+    assert!(
+        matches!(actions[..], [Action::Send { limit, .. }] if (120_000..400_000).contains(&limit)),
+        "{actions:?}"
+    );
+}
