End connections with their answer where places are short

A crowd asks once and stays; Clients::place may close idle ones only after 2 s. Ruled out: sockets to servers (250 of 344 in use), accepting (up to 800 a second taken). Now past 60 % of the places an answer to a connection's first request closes it, past 90 % any answer does.

--- a/src/bin/woodgap/clients.rs
+++ b/src/bin/woodgap/clients.rs
@@ -41,6 +41,10 @@
 const REFUSAL: Duration = Duration::from_secs(1);
 /// When to come back to a node that has no room.
 const OVERFULL: Duration = Duration::from_millis(500);
+/// Past this part of the places a connection ends with the answer to its first request, and past the
+/// greater one any does: crowds that ask once and stay would shut others out until they may be closed.
+const CROWDED: f64 = 0.6;
+const FULL: f64 = 0.9;
 /// How often the connections are looked over.
 const LOOK: Duration = Duration::from_millis(100);
 /// How long a newcomer waits for the place of a connection that was closed for it.
@@ -172,7 +176,8 @@
                 } else {
                     clients.handle(request, body_by).await
                 };
-                if !keep || clients.draining.get() {
+                let crowded = clients.budget.part() > if state.is_first() { CROWDED } else { FULL };
+                if !keep || crowded || clients.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 state.enter(Phase::Idle);
--- a/src/bin/woodgap/conn.rs
+++ b/src/bin/woodgap/conn.rs
@@ -43,6 +43,8 @@
     since: Cell<Instant>,
     /// Whether it is closed at once, or with the answer to the request that may be open.
     abrupt: Cell<bool>,
+    /// Requests that have come on it.
+    requests: Cell<u32>,
     pub close: Notify,
     /// When the first request must have come.
     first_by: Instant,
@@ -55,6 +57,7 @@
             phase: Cell::new(Phase::New),
             since: Cell::new(now),
             abrupt: Cell::new(false),
+            requests: Cell::new(0),
             close: Notify::new(),
             first_by: now + first,
         })
@@ -75,9 +78,15 @@
             _ => Instant::now() + SLOW,
         };
         self.enter(Phase::Open);
+        self.requests.set(self.requests.get().saturating_add(1));
         by
     }
 
+    /// Whether no other request came before the one that is open.
+    pub fn is_first(&self) -> bool {
+        self.requests.get() == 1
+    }
+
     /// Whether a request has taken too long to come, or none has come for long.
     pub fn overdue(&self) -> bool {
         match self.phase.get() {
@@ -164,3 +173,38 @@
         self.stream.is_write_vectored()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Those who say nothing give way first, those with a request open never.
+    #[tokio::test(start_paused = true)]
+    async fn what_nothing_is_open_on_gives_way() {
+        let conn = Conn::new(SLOW);
+        let may_close_after = |conn: &Rc<Conn>| {
+            let conn = conn.clone();
+            async move {
+                for tenths in 0..100 {
+                    if conn.spare() >= 1.0 {
+                        return Some(tenths);
+                    }
+                    tokio::time::advance(Duration::from_millis(100)).await;
+                }
+                None
+            }
+        };
+        assert_eq!(may_close_after(&conn).await, Some(5));
+        conn.opened();
+        assert!(conn.is_first());
+        assert_eq!(may_close_after(&conn).await, None);
+        assert!(!conn.overdue());
+        conn.enter(Phase::Idle);
+        assert_eq!(may_close_after(&conn).await, Some(20));
+        conn.enter(Phase::Head);
+        tokio::time::advance(SLOW + Duration::from_millis(1)).await;
+        assert!(conn.overdue());
+        conn.shut(true);
+        assert_eq!(may_close_after(&conn).await, None);
+    }
+}
--- a/src/bin/woodgap/task.rs
+++ b/src/bin/woodgap/task.rs
@@ -39,6 +39,11 @@
         self.used.get() >= self.most
     }
 
+    /// The part that is taken.
+    pub fn part(&self) -> f64 {
+        self.used.get() as f64 / self.most.max(1) as f64
+    }
+
     pub fn take(self: &Rc<Self>) -> Option<Permit> {
         if self.is_full() {
             return None;
