Keep the slots of a server that turns away with its cores idle

Ruled out: route without an owner (0 times), retry budget (full), sockets (170 of 256), ejections (none), sick classes (none): all refusals are shed_now's. Full answers from real crowding come with 3 to 8 of ours in flight and 0.68 to 0.96 reported; these with 0 to 3 and 0.26 to 0.53. Now a full answer of a server that reports under 0.7 leaves the share alone, and takes 5 % while most is turned away; it does not cut the limit either.

Loopback test: fails without the change.

--- a/src/api.rs
+++ b/src/api.rs
@@ -174,6 +174,8 @@
     pub settle_after_doubt: Micros,
     /// [`Outcome::Full`] does not prove that the attempt never ran.
     pub full_may_have_run: bool,
+    /// Place of the part of its cores in use in a server's load report.
+    pub util_field: Option<usize>,
 }
 
 impl Default for Settings {
@@ -201,6 +203,7 @@
             ask_within: 10_000_000,
             settle_after_doubt: 0,
             full_may_have_run: false,
+            util_field: None,
         }
     }
 }
@@ -301,7 +304,7 @@
     pub spent: Micros,
     /// The request has ended; nothing more is owed.
     pub done: bool,
-    /// The server's load report, in the order of the wire; nothing reads it yet.
+    /// The server's load report, in the order of the wire; [`Settings::util_field`] is read.
     pub load: Vec<f64>,
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -49,6 +49,12 @@
 const SLOW: f64 = 2.2;
 /// Shares: what a full answer leaves, what a sweep gives back, the least that is left.
 const FULL_YIELD: f64 = 0.6;
+/// A server that reports less than this part of its cores in use turns nobody away for want of room:
+/// its share yields only by this, while more than this part of what it gets comes back. See
+/// `Server::full_yield`.
+const IDLE: f64 = 0.7;
+const TURNED_YIELD: f64 = 0.95;
+const TURNED_MOST: f64 = 0.6;
 const REGAIN: f64 = 0.01;
 const LEAST_SHARE: f64 = 0.05;
 /// A walk that finds no owner falls back on one that carries at least this share.
@@ -172,6 +178,10 @@
     trial: bool,
     /// While it is cold: attempts that this node may send it.
     budget: f64,
+    /// Part of its latest answers that turned a request away, and the part of its cores that it last
+    /// reported in use.
+    turned: f64,
+    util: Option<f64>,
     /// How it does with each class: a bad release may fail one and serve the others.
     health: Vec<Health>,
 }
@@ -788,8 +798,13 @@
         }
         // A server that holds requests of ours and makes no connection has no room for more. One full
         // owner is a local matter: only where the next one is full too, the fleet may be.
-        let crowded = server.inflight > 0;
-        let full = closed.outcome == Outcome::Full || (closed.outcome == Outcome::ConnectFailed && crowded);
+        let holds = server.inflight > 0;
+        let full = closed.outcome == Outcome::Full || (closed.outcome == Outcome::ConnectFailed && holds);
+        if full || closed.outcome == Outcome::Ok {
+            server.turned += 0.15 * (f64::from(u8::from(full)) - server.turned);
+        }
+        let util = self.settings.util_field.and_then(|field| closed.load.get(field));
+        server.util = util.copied().or(server.util);
         let answered = closed.outcome == Outcome::Ok;
         let mut late = false;
         // An attempt that timed out was at least as slow as that. Where no word of its server came after
@@ -808,8 +823,10 @@
             self.mood.served += 1.0;
             norm.mean += 0.02 * (spent - norm.mean);
         }
+        let crowded = full && !server.turns_away_idle();
         if full {
-            server.share = (server.share * FULL_YIELD).max(LEAST_SHARE);
+            let yields = server.full_yield();
+            server.share = (server.share * yields).max(LEAST_SHARE);
         }
         if answered || full {
             server.reinstate();
@@ -840,7 +857,7 @@
         if dead || (failed && (stands_out || server.ejected.is_some())) {
             self.eject(i);
         }
-        if (late && self.mood.late > LATE_PART) || (full && closed.attempt > 0) {
+        if (late && self.mood.late > LATE_PART) || (crowded && closed.attempt > 0) {
             self.hold_down();
         }
     }
@@ -1017,10 +1034,30 @@
             ejected: None,
             trial: false,
             budget,
+            turned: 0.0,
+            util: None,
             health: Vec::new(),
         }
     }
 
+    /// Whether what it turns away is not for want of room: it limits its rate, or its front does, or it
+    /// turns away by chance. That never ran and goes on to the next owner for the price of a round trip,
+    /// while slots that it yielded would crowd the others. Hurts where reports are wrong or old: a full
+    /// server is then asked again and again. Without reports, full is full.
+    fn turns_away_idle(&self) -> bool {
+        self.util.is_some_and(|util| util < IDLE)
+    }
+
+    /// What a full answer leaves of its share. One that turns most away with its cores idle yields a
+    /// little each time, down to about what it takes.
+    fn full_yield(&self) -> f64 {
+        match self.turns_away_idle() {
+            false => FULL_YIELD,
+            true if self.turned > TURNED_MOST => TURNED_YIELD,
+            true => 1.0,
+        }
+    }
+
     /// Back from ejection, with few slots at first.
     fn reinstate(&mut self) {
         if self.ejected.take().is_some() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -170,6 +170,7 @@
         ask_within: p.whole("rules.ask-within", 10_000_000)?,
         settle_after_doubt: p.whole("rules.settle-after-doubt", 0)?,
         full_may_have_run: p.flag("rules.may-shed-begun"),
+        util_field: p.text("report.fields").and_then(|fields| fields.split(',').position(|f| f == "util")),
     };
     Ok((settings, Names { classes: class_names, tenants: tenant_names }))
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -196,6 +196,7 @@
                 "bounds": {"max-attempts": 3, "cancelling": true, "dial-timeout": 5_000_000,
                     "keepalive": 60_000_000, "retry-after": true, "max-retry-after": 2_000_000},
                 "rules": {"ask-within": 1_000_000},
+                "report": {"fields": ["queue", "util"]},
             },
         });
         let mut file = tempfile::NamedTempFile::new().unwrap();
@@ -567,6 +568,28 @@
     until("served again", || site.ask("pay", "2").status() == 200);
 }
 
+// A server that turns requests away with its cores idle, by a rate limit or by chance, is not out of
+// room: without its slots the others would be. One that reports to be busy gives slots up.
+#[test]
+fn a_server_that_turns_away_while_idle_keeps_its_keys() {
+    for (util, keeps) in [("0.1", true), ("0.99", false)] {
+        let site = Site::new(4);
+        assert_eq!(site.ask("pay", "0").status(), 200);
+        let owner = site.requests()[0].0;
+        let report = format!(r#"X-Pressure: {{"queue":0,"util":{util}}}"#);
+        let head: &'static str = format!("503 Busy\r\nX-Turned-Away: 1\r\n{report}").leak();
+        *site.does[owner].lock().unwrap() = Does::Answer(head);
+        for n in 1..6 {
+            // Another one serves it.
+            assert_eq!(site.ask("pay", &n.to_string()).status(), 200);
+        }
+        *site.does[owner].lock().unwrap() = Does::Serve;
+        site.requests();
+        assert_eq!(site.ask("pay", "6").status(), 200);
+        assert_eq!(site.requests()[0].0 == owner, keeps, "util {util}");
+    }
+}
+
 // Clients that ask once and keep their connection for good must not shut others out: sixty sockets
 // leave twelve places.
 #[test]
