Pass a server by for a class that it swallows; count one event once

Now a class with two attempts out and no answer for the silence of an ejection, or two time-outs in a row, is passed by there like one that answers errors; one at a time tries it afterwards. What was sent before is no new sign, and no sign for the limit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,8 +65,8 @@
 /// fleet's usual part. Lower ejects sooner, and more often by chance.
 const FAILING: f64 = 0.4;
 const FAILING_MORE: f64 = 2.5;
-/// A server is passed by for a class when this smoothed part of its latest answers to it are errors,
-/// two in a row, unless the class fails as much everywhere. Back from that, one error is enough.
+/// A server is passed by for a class when this smoothed part of its latest answers to it are errors or
+/// time-outs, two in a row, unless the class fails as much everywhere. Back from that, one error is enough.
 const SICK: f64 = 0.5;
 const SICK_STEP: f64 = 0.3;
 /// First ejection; each further one doubles it up to the longest.
@@ -172,8 +172,9 @@
     /// Part of its latest attempts that ended in an error, a reset or a time-out.
     failing: f64,
     ejections: u32,
-    /// While ejected: when it may be tried again.
+    /// While ejected: when it may be tried again, and since when it is out.
     ejected: Option<Micros>,
+    out_since: Micros,
     /// A trial or probe is out.
     trial: bool,
     /// While it is cold: attempts that this node may send it.
@@ -191,9 +192,44 @@
 struct Health {
     /// Part of its latest answers that were errors.
     failing: f64,
-    /// It gets none until then.
+    /// It gets none until then, and since when that is so.
     until: Micros,
+    since: Micros,
     times: u32,
+    /// Not answered since then: one at a time may try.
+    trial: bool,
+    /// Attempts that are out, and since when without an answer to this class.
+    out: u32,
+    quiet_since: Micros,
+}
+
+impl Health {
+    fn bars(&self, now: Micros) -> bool {
+        now < self.until || (self.trial && self.out > 0)
+    }
+
+    fn sent(&mut self, now: Micros) {
+        if self.out == 0 {
+            self.quiet_since = now;
+        }
+        self.out += 1;
+    }
+
+    /// Whether a time-out belongs to a silence that is known.
+    fn closed(&mut self, now: Micros, sent: Micros, answer: bool, timed_out: bool) -> bool {
+        self.out = self.out.saturating_sub(1);
+        if answer {
+            self.quiet_since = now;
+        }
+        timed_out && self.times > 0 && sent < self.since
+    }
+
+    /// Takes the class off the server for `span`.
+    fn rest(&mut self, now: Micros, span: Micros) {
+        (self.since, self.until, self.trial) = (now, now + span, true);
+        self.times += 1;
+        self.failing = SICK_STEP;
+    }
 }
 
 /// What became of an attempt.
@@ -483,7 +519,7 @@
             }
             let server = &self.servers[owner as usize];
             let tried = pending.attempts.iter().any(|a| a.member.server == server.member.server);
-            let sick = server.health.get(pending.class).is_some_and(|health| self.now < health.until);
+            let sick = server.health.get(pending.class).is_some_and(|health| health.bars(self.now));
             if tried || sick || !self.in_group(pending, &server.member) {
                 continue;
             }
@@ -612,6 +648,7 @@
         server.trial |= server.ejected.is_some();
         server.budget -= 1.0;
         server.inflight += 1;
+        server.health(self.requests[&id].class).sent(now);
         self.inflight += 1;
         self.mood.sends += 1.0;
         let member = server.member.clone();
@@ -788,11 +825,17 @@
     fn observe(&mut self, class: usize, closed: &Closed, out: &mut Vec<Action>) {
         let Some(&i) = self.index.get(&closed.server) else { return };
         let spent = closed.spent as f64;
+        let timed_out = closed.outcome == Outcome::Timeout;
         let norm = &mut self.norms[class];
         let server = &mut self.servers[i];
         self.inflight = self.inflight.saturating_sub(1);
         server.inflight = server.inflight.saturating_sub(1);
-        server.trial = false;
+        // What was out when it was ejected tells nothing new: one event would count many times over.
+        let sent = self.now.saturating_sub(closed.spent);
+        let earlier = server.ejected.is_some() && sent < server.out_since;
+        server.trial &= earlier;
+        let answer = matches!(closed.outcome, Outcome::Ok | Outcome::Full | Outcome::Error);
+        let lost = server.health(class).closed(self.now, sent, answer, timed_out);
         if matches!(closed.outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
             server.quiet_since = self.now;
         }
@@ -809,10 +852,9 @@
         let mut late = false;
         // An attempt that timed out was at least as slow as that. Where no word of its server came after
         // it and few servers are out, that one hangs: no sign of more work than the others can do.
-        let timed_out = closed.outcome == Outcome::Timeout;
         let silent = server.quiet_since + closed.spent <= self.now;
         let hung = timed_out && silent && self.mood.ejected <= FEW_OUT;
-        if answered || timed_out {
+        if answered || (timed_out && !lost) {
             late = !hung && (timed_out || closed.spent > self.settings.classes[class].aim);
             let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
             self.mood.late += 0.03 * (sign - self.mood.late);
@@ -844,7 +886,8 @@
         // holds nothing of ours is proof by itself; so is any failure of a trial.
         let failed = matches!(closed.outcome, Outcome::Error | Outcome::Reset | Outcome::Timeout);
         let error = closed.outcome == Outcome::Error;
-        let sick = (error || answered) && self.observe_class(i, class, error);
+        let counts = error || answered || (timed_out && !silent);
+        let sick = lost || (counts && self.observe_class(i, class, !answered));
         let server = &mut self.servers[i];
         // What one class suffers says nothing of the others.
         if (failed || answered) && !sick {
@@ -854,7 +897,7 @@
         }
         let dead = closed.outcome == Outcome::ConnectFailed && !full;
         let stands_out = server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
-        if dead || (failed && (stands_out || server.ejected.is_some())) {
+        if !earlier && (dead || (failed && (stands_out || server.ejected.is_some()))) {
             self.eject(i);
         }
         if (late && self.mood.late > LATE_PART) || (crowded && closed.attempt > 0) {
@@ -868,26 +911,28 @@
         let sign = f64::from(u8::from(error));
         norm.failing += 0.02 * (sign - norm.failing);
         let everywhere = norm.failing > PANIC;
-        let server = &mut self.servers[i];
-        if server.health.len() <= class {
-            server.health.resize(class + 1, Health::default());
-        }
-        let health = &mut server.health[class];
+        let health = self.servers[i].health(class);
         health.failing += SICK_STEP * (sign - health.failing);
-        if !error && health.failing < 0.05 {
-            health.times = 0;
+        if !error {
+            health.trial = false;
+            if health.failing < 0.05 {
+                health.times = 0;
+            }
         }
         let sick = error && health.failing > SICK && !everywhere;
         if sick && self.now >= health.until {
-            let span = (EJECTION << health.times.min(6)).min(EJECTION_LONGEST);
-            health.times += 1;
-            health.failing = SICK_STEP;
-            let until = self.now + self.jitter(span);
-            self.servers[i].health[class].until = until;
+            self.rest_class(i, class);
         }
         sick
     }
 
+    /// Passes a server by for a class, longer each time.
+    fn rest_class(&mut self, i: usize, class: usize) {
+        let span = (EJECTION << self.servers[i].health(class).times.min(6)).min(EJECTION_LONGEST);
+        let span = self.jitter(span);
+        self.servers[i].health(class).rest(self.now, span);
+    }
+
     /// Servers that are crowded jam together: holds down what is in flight.
     fn hold_down(&mut self) {
         let keep = 1.0 - (LIMIT_CUT * self.window / self.mood.sends.max(1.0)).min(0.2);
@@ -900,7 +945,7 @@
         let span = (EJECTION << self.servers[i].ejections.min(6)).min(EJECTION_LONGEST);
         let until = self.now + self.jitter(span);
         let server = &mut self.servers[i];
-        (server.ejected, server.trial) = (Some(until), false);
+        (server.ejected, server.trial, server.out_since) = (Some(until), false, self.now);
         server.ejections += 1;
     }
 
@@ -937,6 +982,17 @@
             if quiet && server.ejected.is_none() {
                 self.eject(i);
             }
+            // It speaks, but not to a class: a release may swallow one and serve the others. Waiting for the
+            // time-outs would lose all that is sent meanwhile, and count them against the whole server and
+            // the limit. One attempt alone may just be heavy. Hurts a class whose work varies far more than
+            // the others': its server is passed by for it for a second.
+            for class in 0..self.servers[i].health.len() {
+                let health = &self.servers[i].health[class];
+                let mute = health.out > 1 && self.now > health.quiet_since + silence;
+                if mute && !quiet && self.now >= health.until && self.norms[class].failing <= PANIC {
+                    self.rest_class(i, class);
+                }
+            }
             let server = &mut self.servers[i];
             server.budget = (server.budget + gain).min(1.0 + gain);
             match server.ejected {
@@ -1032,6 +1088,7 @@
             failing: 0.0,
             ejections: 0,
             ejected: None,
+            out_since: 0,
             trial: false,
             budget,
             turned: 0.0,
@@ -1040,6 +1097,13 @@
         }
     }
 
+    fn health(&mut self, class: usize) -> &mut Health {
+        if self.health.len() <= class {
+            self.health.resize(class + 1, Health::default());
+        }
+        &mut self.health[class]
+    }
+
     /// Whether what it turns away is not for want of room: it limits its rate, or its front does, or it
     /// turns away by chance. That never ran and goes on to the next owner for the price of a round trip,
     /// while slots that it yielded would crowd the others. Hurts where reports are wrong or old: a full
