--- a/src/brain.rs
+++ b/src/brain.rs
@@ -190,7 +190,7 @@
 /// How a server does with the requests of a class.
 #[derive(Clone, Default)]
 struct Health {
-    /// Part of its latest answers that were errors.
+    /// Part of its latest attempts that ended in an error or, while it answered others, a time-out.
     failing: f64,
     /// It gets none until then, and since when that is so.
     until: Micros,
@@ -836,7 +836,7 @@
         server.trial &= earlier;
         let answer = matches!(closed.outcome, Outcome::Ok | Outcome::Full | Outcome::Error);
         let lost = server.health(class).closed(self.now, sent, answer, timed_out);
-        if matches!(closed.outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
+        if answer {
             server.quiet_since = self.now;
         }
         // A server that holds requests of ours and makes no connection has no room for more. One full
