--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node under test, and the short names that the tests use.
 #![allow(dead_code)]
 
-use woodgap::*;
+use woodgap_decisions::*;
 
 pub const SECOND: Micros = 1_000_000;
 
--- a/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use woodgap::*;
+use woodgap_decisions::*;
 
 const SAFE: usize = 0;
 const UNSAFE: usize = 1;
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -10,7 +10,7 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use woodgap::*;
+use woodgap_decisions::*;
 
 /// One step of a random day.
 #[derive(Clone, Debug)]
--- a/tests/table.rs
+++ b/crates/decisions/tests/table.rs
@@ -1,7 +1,7 @@
 //! The table: what nodes must agree on, and what a change of the fleet may move.
 
-use woodgap::brain::{build_table, TABLE_SLOTS};
-use woodgap::ServerId;
+use woodgap_decisions::brain::{build_table, TABLE_SLOTS};
+use woodgap_decisions::ServerId;
 
 fn fleet(n: u32) -> Vec<(ServerId, f64)> {
     (0..n).map(|i| (ServerId(i * 7919 + 13), [1.0, 2.0, 0.5][i as usize % 3])).collect()
--- a/src/bin/woodgap/clients.rs
+++ b/crates/node/src/clients.rs
@@ -18,8 +18,8 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use woodgap::settings::Names;
-use woodgap::{ClassId, Settings, TenantId};
+use woodgap_decisions::settings::Names;
+use woodgap_decisions::{ClassId, Settings, TenantId};
 
 use crate::conn::{Conn, Phase, Socket, SLOW};
 use crate::driver::{Answer, Arrival, Msg};
--- a/src/bin/woodgap/config.rs
+++ b/crates/node/src/config.rs
@@ -7,8 +7,8 @@
 
 use serde::Deserialize;
 use serde_json::Value;
-use woodgap::settings::{self, Names, Pairs};
-use woodgap::Settings;
+use woodgap_decisions::settings::{self, Names, Pairs};
+use woodgap_decisions::Settings;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::discovery::List;
--- a/src/bin/woodgap/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -12,8 +12,8 @@
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use woodgap::settings::server_state;
-use woodgap::ServerState;
+use woodgap_decisions::settings::server_state;
+use woodgap_decisions::ServerState;
 
 use crate::task::AbortOnDrop;
 
--- a/src/bin/woodgap/driver.rs
+++ b/crates/node/src/driver.rs
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio_util::time::{delay_queue, DelayQueue};
-use woodgap::{
+use woodgap_decisions::{
     Action, Balancer, ClassId, Closed, Discovery, Event, Key, Micros, Outcome, Request, RequestId, ServerId,
     SyncKind, TenantId, TimerId,
 };
--- a/src/bin/woodgap/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -21,7 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
-use woodgap::Outcome;
+use woodgap_decisions::Outcome;
 
 use crate::task::{AbortOnDrop, Permit};
 
--- a/src/bin/woodgap/request.rs
+++ b/crates/node/src/request.rs
@@ -5,8 +5,8 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Uri};
-use woodgap::settings::Names;
-use woodgap::{Key, Micros, Semantics, Settings};
+use woodgap_decisions::settings::Names;
+use woodgap_decisions::{Key, Micros, Semantics, Settings};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::exchange::LONGEST_BODY;
--- a/src/bin/woodgap/servers.rs
+++ b/crates/node/src/servers.rs
@@ -11,8 +11,8 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::time::{timeout_at, Instant};
-use woodgap::settings::Zones;
-use woodgap::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
+use woodgap_decisions::settings::Zones;
+use woodgap_decisions::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
 use crate::config::Figures;
 use crate::discovery::{server_number, List};
--- a/src/bin/woodgap-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts one [`woodgap::Balancer`] per node on the simulator's wire. It decides nothing.
+//! Hosts one [`woodgap_decisions::Balancer`] per node on the simulator's wire. It decides nothing.
 #![forbid(unsafe_code)]
 
 mod wire;
@@ -9,8 +9,8 @@
 use std::rc::Rc;
 
 use wire::Fields;
-use woodgap::settings::{self, Fault, Pairs, Zones};
-use woodgap::{Action, Balancer, Event, Member, Micros};
+use woodgap_decisions::settings::{self, Fault, Pairs, Zones};
+use woodgap_decisions::{Action, Balancer, Event, Member, Micros};
 
 /// One node: its module and how its words read on the wire.
 struct Instance {
--- a/src/bin/woodgap-simhost/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -6,12 +6,12 @@
 use std::str::FromStr;
 
 use base64::{engine::general_purpose::STANDARD, Engine};
-use woodgap::{
+use woodgap_decisions::{
     Action, CellId, ClassId, Closed, Event, Key, Member, Outcome, Request, RequestId, ServerId, SyncKind,
     TenantId, TimerId,
 };
 
-use woodgap::settings::{finite, number, server_state, Fault, Names, Zones};
+use woodgap_decisions::settings::{finite, number, server_state, Fault, Names, Zones};
 
 /// The parts of a line, taken from the left.
 pub struct Fields<'a> {
