Add the catalogue of tenants and their shares, pure (tenancy)

A hosted node serves many tenants; what it must settle about them has no place in the decision module.

The catalogue makes every change a commit on one revision: conditions on the document seen, names and addresses that collide, lifecycle, history. A plain model checks the catalogue under proptest (300 cases of up to 80 edits), and that what a store kept gives the same catalogue.

--- /dev/null
+++ b/crates/tenancy/src/route.rs
@@ -0,0 +1,81 @@
+//! Which tenant a request names: its listener, its authority or its `X-Org`.
+
+use std::collections::BTreeMap;
+
+use crate::Uid;
+
+/// How a tenant may be named.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Claim {
+    /// By the name of a listener.
+    Listener(String),
+    /// By `Host`, lower case, without a port.
+    Authority(String),
+    /// By `X-Org`.
+    Org(String),
+}
+
+/// Why a request has no tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unrouted {
+    /// Nothing that it says names a tenant.
+    Unknown,
+    /// What it says names two.
+    Ambiguous,
+}
+
+/// The host of an authority: without its port, the brackets of an IPv6 address kept (RFC 3986,
+/// section 3.2).
+pub fn host_of(authority: &str) -> &str {
+    if authority.starts_with('[') {
+        return authority.find(']').map_or(authority, |end| &authority[..=end]);
+    }
+    authority.split_once(':').map_or(authority, |(host, _)| host)
+}
+
+/// Finds the tenant. The listener comes before the authority, and the authority before `X-Org`; where the
+/// first two decide, an `X-Org` that names another tenant makes the request ambiguous, so that nobody
+/// reaches one tenant's servers with another's name.
+pub fn tenant_of(
+    claims: &BTreeMap<Claim, Uid>,
+    listener: &str,
+    authority: Option<&str>,
+    org: Option<&str>,
+) -> Result<Uid, Unrouted> {
+    let by_org = org.and_then(|org| claims.get(&Claim::Org(org.to_owned()))).copied();
+    let by_listener = || claims.get(&Claim::Listener(listener.to_owned())).copied();
+    let by_authority = || {
+        let host = host_of(authority?).trim_end_matches('.').to_ascii_lowercase();
+        claims.get(&Claim::Authority(host)).copied()
+    };
+    match (by_listener().or_else(by_authority), by_org) {
+        (Some(place), Some(org)) if place != org => Err(Unrouted::Ambiguous),
+        (Some(uid), _) | (None, Some(uid)) => Ok(uid),
+        (None, None) => Err(Unrouted::Unknown),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_first_that_names_a_tenant_decides() {
+        let claims = BTreeMap::from([
+            (Claim::Listener("north".into()), Uid(1)),
+            (Claim::Authority("clubs.example".into()), Uid(2)),
+            (Claim::Org("acme".into()), Uid(3)),
+            (Claim::Authority("[::1]".into()), Uid(4)),
+        ]);
+        let find = |listener, host, org| tenant_of(&claims, listener, host, org);
+        assert_eq!(find("north", Some("clubs.example"), None), Ok(Uid(1)));
+        assert_eq!(find("", Some("Clubs.Example:8080"), None), Ok(Uid(2)));
+        assert_eq!(find("", Some("clubs.example.:80"), None), Ok(Uid(2)));
+        assert_eq!(find("", Some("[::1]:80"), None), Ok(Uid(4)));
+        assert_eq!(find("", Some("other"), Some("acme")), Ok(Uid(3)));
+        assert_eq!(find("", Some("clubs.example"), Some("unknown")), Ok(Uid(2)));
+        assert_eq!(find("", Some("clubs.example"), Some("acme")), Err(Unrouted::Ambiguous));
+        assert_eq!(find("", None, Some("ACME")), Err(Unrouted::Unknown));
+        assert_eq!(find("", None, None), Err(Unrouted::Unknown));
+    }
+}
--- /dev/null
+++ b/crates/tenancy/src/shares.rs
@@ -0,0 +1,336 @@
+//! Parts of a resource that tenants share: sockets, held requests, body bytes, time on the core.
+//!
+//! Max-min fair with a reserve. A tenant that holds something, or did within [`LATELY`], is active; its
+//! part is the whole, less the reserve, by its weight among the active. Within its part a tenant finds
+//! room, beyond it only what nobody needs: the reserve is kept for those who come back from being idle,
+//! so that a quiet tenant never waits for a pushy one to give something up. What a tenant holds beyond
+//! its part is given back as it ends, within the longest deadline; it gets nothing more until then.
+//!
+//! The time to decide does not grow with the number of tenants that are idle.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::quota::Micros;
+use crate::Uid;
+
+/// For how long a tenant that holds nothing keeps its part.
+pub const LATELY: Micros = 2_000_000;
+/// Part of the whole that is kept for tenants within their part.
+pub const RESERVE: f64 = 0.1;
+
+#[derive(Clone, Debug, Default)]
+struct Holder {
+    weight: u32,
+    held: u64,
+    last: Micros,
+}
+
+/// A resource that is held and given back.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    whole: u64,
+    reserve: u64,
+    held: u64,
+    weights: u64,
+    active: BTreeMap<Uid, Holder>,
+    /// Those that may have become idle, by when they were last seen.
+    idle: VecDeque<(Micros, Uid)>,
+}
+
+impl Shares {
+    /// `whole` units, of which a tenth is the reserve.
+    pub fn new(whole: u64) -> Self {
+        let reserve = ((whole as f64 * RESERVE) as u64).min(whole.saturating_sub(1));
+        Shares { whole, reserve, held: 0, weights: 0, active: BTreeMap::new(), idle: VecDeque::new() }
+    }
+
+    /// The units that a tenant of this weight may count on now, one at least.
+    pub fn part(&self, uid: Uid, weight: u32) -> u64 {
+        let known = self.active.get(&uid).map_or(0, |holder| u64::from(holder.weight));
+        let weights = self.weights - known + u64::from(weight.max(1));
+        ((self.whole - self.reserve) * u64::from(weight.max(1)) / weights).max(1)
+    }
+
+    /// What a tenant holds.
+    pub fn held_by(&self, uid: Uid) -> u64 {
+        self.active.get(&uid).map_or(0, |holder| holder.held)
+    }
+
+    /// What all hold.
+    pub fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Tenants that count as active.
+    pub fn actives(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Whether a tenant holds more than its part.
+    pub fn is_over(&self, uid: Uid) -> bool {
+        self.active.get(&uid).is_some_and(|holder| holder.held > self.part(uid, holder.weight))
+    }
+
+    /// The tenant that is furthest beyond its part, if any is.
+    pub fn most_over(&self) -> Option<Uid> {
+        let over = |(uid, holder): (&Uid, &Holder)| {
+            let over = holder.held.checked_sub(self.part(*uid, holder.weight)).filter(|&over| over > 0);
+            over.map(|over| (over, *uid))
+        };
+        self.active.iter().filter_map(over).max().map(|(_, uid)| uid)
+    }
+
+    /// Takes units for a tenant, or tells that it must do without.
+    pub fn take(&mut self, now: Micros, uid: Uid, weight: u32, units: u64) -> bool {
+        self.seen(now, uid, weight);
+        let part = self.part(uid, weight);
+        let free = self.whole.saturating_sub(self.held);
+        let holds = self.held_by(uid);
+        let within = holds + units <= part && units <= free;
+        let spare = units <= free.saturating_sub(self.reserve);
+        if !(within || spare) {
+            return false;
+        }
+        self.held += units;
+        if let Some(holder) = self.active.get_mut(&uid) {
+            holder.held += units;
+        }
+        true
+    }
+
+    /// Gives units back.
+    pub fn give(&mut self, now: Micros, uid: Uid, units: u64) {
+        let Some(holder) = self.active.get_mut(&uid) else { return };
+        let units = units.min(holder.held);
+        holder.held -= units;
+        holder.last = now;
+        self.held -= units;
+        if holder.held == 0 {
+            self.idle.push_back((now, uid));
+        }
+        self.forget_idle(now);
+    }
+
+    /// Notes that a tenant is there, with its present weight.
+    fn seen(&mut self, now: Micros, uid: Uid, weight: u32) {
+        let weight = weight.max(1);
+        let holder = self.active.entry(uid).or_default();
+        self.weights = self.weights - u64::from(holder.weight) + u64::from(weight);
+        (holder.weight, holder.last) = (weight, now);
+        if holder.held == 0 && self.idle.back().is_none_or(|&(_, last)| last != uid) {
+            self.idle.push_back((now, uid));
+        }
+        self.forget_idle(now);
+    }
+
+    /// Drops tenants that have held nothing for a while. Each look settles an entry or two, and an entry
+    /// is made by an event, so the queue is as long as the events of [`LATELY`] at the most.
+    fn forget_idle(&mut self, now: Micros) {
+        while let Some(&(at, uid)) = self.idle.front() {
+            if now.saturating_sub(at) < LATELY {
+                break;
+            }
+            self.idle.pop_front();
+            let over = |holder: &Holder| holder.held == 0 && now.saturating_sub(holder.last) >= LATELY;
+            match self.active.get(&uid) {
+                Some(holder) if over(holder) => {
+                    self.weights -= u64::from(holder.weight);
+                    self.active.remove(&uid);
+                }
+                // Seen since: looked at again when that is long ago.
+                Some(holder) if holder.held == 0 => {
+                    let last = holder.last;
+                    let known = self.idle.iter().any(|&(_, other)| other == uid);
+                    if !known {
+                        let at = self.idle.partition_point(|&(at, _)| at <= last);
+                        self.idle.insert(at, (last, uid));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Time on the core, which is not given back but fades.
+///
+/// Each tenant's use is a fading sum. While the core has time to spare everyone may use it; past
+/// [`CoreTime::BUSY`] a tenant that used more than its part of what was used gets no turn for new work.
+#[derive(Clone, Debug, Default)]
+pub struct CoreTime {
+    all: f64,
+    at: Micros,
+    /// Weights of all users: those that faded count until the next [`CoreTime::tidy`].
+    weights: u64,
+    users: BTreeMap<Uid, User>,
+}
+
+#[derive(Clone, Debug)]
+struct User {
+    used: f64,
+    at: Micros,
+    weight: u32,
+}
+
+impl CoreTime {
+    /// A use of that long ago counts by 1/e.
+    pub const WINDOW: Micros = 200_000;
+    /// Past this part of the core in use, its time is shared out.
+    pub const BUSY: f64 = 0.7;
+    /// Users whose fading sum is less than this many microseconds are forgotten.
+    const LEAST: f64 = 20.0;
+
+    fn faded(sum: f64, since: Micros, now: Micros) -> f64 {
+        sum * (-(now.saturating_sub(since) as f64) / Self::WINDOW as f64).exp()
+    }
+
+    /// Counts time that a tenant's work took.
+    pub fn charge(&mut self, now: Micros, uid: Uid, weight: u32, spent: f64) {
+        self.all = Self::faded(self.all, self.at, now) + spent;
+        self.at = now;
+        let weight = weight.max(1);
+        let user = self.users.entry(uid).or_insert(User { used: 0.0, at: now, weight: 0 });
+        self.weights = self.weights - u64::from(user.weight) + u64::from(weight);
+        user.used = Self::faded(user.used, user.at, now) + spent;
+        (user.at, user.weight) = (now, weight);
+    }
+
+    /// The part of the core in use, 0 to about 1.
+    pub fn busy(&self, now: Micros) -> f64 {
+        Self::faded(self.all, self.at, now) / Self::WINDOW as f64
+    }
+
+    /// A tenant's part of the core, 0 to about 1.
+    pub fn used_by(&self, now: Micros, uid: Uid) -> f64 {
+        let used = self.users.get(&uid).map_or(0.0, |user| Self::faded(user.used, user.at, now));
+        used / Self::WINDOW as f64
+    }
+
+    /// Whether a tenant's new work may have a turn.
+    pub fn admit(&self, now: Micros, uid: Uid) -> bool {
+        if self.busy(now) <= Self::BUSY {
+            return true;
+        }
+        let Some(user) = self.users.get(&uid) else { return true };
+        let part = f64::from(user.weight) / (self.weights as f64).max(1.0);
+        self.used_by(now, uid) <= part * Self::BUSY
+    }
+
+    /// Drops users that have faded; to be called now and then.
+    pub fn tidy(&mut self, now: Micros) {
+        self.users.retain(|_, user| Self::faded(user.used, user.at, now) >= Self::LEAST);
+        self.weights = self.users.values().map(|user| u64::from(user.weight)).sum();
+    }
+
+    /// Tenants that are remembered.
+    pub fn users(&self) -> usize {
+        self.users.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const A: Uid = Uid(1);
+    const B: Uid = Uid(2);
+
+    fn fill(shares: &mut Shares, now: Micros, uid: Uid) -> u64 {
+        (0..10_000).take_while(|_| shares.take(now, uid, 1, 1)).count() as u64
+    }
+
+    #[test]
+    fn a_quiet_tenant_finds_room_however_hard_another_pushes() {
+        let mut shares = Shares::new(100);
+        // Alone, all but the reserve may be used.
+        assert_eq!(fill(&mut shares, 0, A), 90);
+        // The other comes and finds the reserve, at once.
+        assert_eq!(fill(&mut shares, 1, B), 10);
+        // What the first gives back goes to the other until that has its part, whoever asks first.
+        for _ in 0..35 {
+            shares.give(2, A, 1);
+            assert!(!shares.take(2, A, 1, 1));
+            assert!(shares.take(2, B, 1, 1));
+        }
+        // Beyond its part neither gets into the reserve.
+        assert!(!shares.take(3, A, 1, 1) && !shares.take(3, B, 1, 1));
+        assert_eq!((shares.held_by(A), shares.held_by(B)), (55, 45));
+        assert!(shares.is_over(A) && !shares.is_over(B));
+        assert_eq!(shares.most_over(), Some(A));
+    }
+
+    #[test]
+    fn an_idle_part_is_used_by_others_and_comes_back() {
+        let mut shares = Shares::new(100);
+        assert_eq!(fill(&mut shares, 0, B), 90);
+        for _ in 0..90 {
+            shares.give(10, B, 1);
+        }
+        // Its part is free for it a while, then it is the other's; the reserve stays.
+        assert_eq!(shares.part(A, 1), 45);
+        assert!(shares.take(10 + LATELY, A, 1, 1));
+        assert_eq!(shares.actives(), 1);
+        assert_eq!(fill(&mut shares, 10 + LATELY, A), 89);
+    }
+
+    #[test]
+    fn parts_go_by_weight() {
+        let mut shares = Shares::new(100);
+        assert!(shares.take(0, A, 1, 1) && shares.take(0, B, 2, 1));
+        assert_eq!((shares.part(A, 1), shares.part(B, 2)), (30, 60));
+        // A weight that changed counts from the next request on.
+        assert!(shares.take(0, A, 4, 1));
+        assert_eq!((shares.part(A, 4), shares.part(B, 2)), (60, 30));
+    }
+
+    #[test]
+    fn the_last_unit_is_never_given_twice() {
+        let mut shares = Shares::new(10);
+        let mut taken = 0;
+        for uid in 0..1_000 {
+            taken += u64::from(shares.take(0, Uid(uid), 1, 1));
+        }
+        assert_eq!((taken, shares.held()), (10, 10));
+        assert!(!shares.take(0, Uid(5_000), 1, 1));
+    }
+
+    #[test]
+    fn memory_follows_the_active_not_all_that_were_ever_seen() {
+        let mut shares = Shares::new(10);
+        for n in 0..100_000 {
+            let now = n * 1_000;
+            assert!(shares.take(now, Uid(n), 1, 1));
+            shares.give(now, Uid(n), 1);
+        }
+        assert!(
+            shares.actives() <= 2_001 && shares.idle.len() <= 4_002,
+            "{} {}",
+            shares.actives(),
+            shares.idle.len()
+        );
+    }
+
+    #[test]
+    fn the_core_is_anyones_until_it_is_busy() {
+        let mut core = CoreTime::default();
+        let mut now = 0;
+        let mut run = |core: &mut CoreTime, a: f64, b: f64| {
+            for _ in 0..1_000 {
+                now += 1_000;
+                core.charge(now, A, 1, a * 1_000.0);
+                core.charge(now, B, 1, b * 1_000.0);
+            }
+            now
+        };
+        let now = run(&mut core, 0.6, 0.05);
+        assert!((core.busy(now) - 0.65).abs() < 0.02, "{}", core.busy(now));
+        assert!(core.admit(now, A) && core.admit(now, B));
+        let now = run(&mut core, 0.9, 0.05);
+        assert!(!core.admit(now, A) && core.admit(now, B));
+        assert!(core.admit(now, Uid(3)));
+        // Refused, its use fades, and it has turns again within a window or two.
+        assert!(core.admit(now + 2 * CoreTime::WINDOW, A));
+        core.tidy(now + 60 * CoreTime::WINDOW);
+        assert_eq!(core.users(), 0);
+    }
+}
--- /dev/null
+++ b/crates/tenancy/tests/model.rs
@@ -0,0 +1,343 @@
+//! The catalogue against a plain model of it: a list of documents with their revisions.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use woodgap_tenancy::catalogue::{Backend, TenantRecord, Write};
+use woodgap_tenancy::spec::Phase;
+use woodgap_tenancy::*;
+
+fn spec(deadline_ms: u64, authority: Option<u8>) -> TenantSpec {
+    let mut value =
+        serde_json::json!({"classes": {"renew": {"repeat": "unsafe", "deadline_ms": deadline_ms}}});
+    if let Some(n) = authority {
+        value["match"] = serde_json::json!({"authorities": [format!("h{n}.example")]});
+    }
+    serde_json::from_value(value).unwrap()
+}
+
+fn server(port: u8) -> BackendSpec {
+    BackendSpec {
+        address: ([127, 0, 0, 1], 1_000 + u16::from(port)).into(),
+        zone: String::new(),
+        cell: 0,
+        size: 1.0,
+        phase: Phase::InService,
+        started_ms: None,
+    }
+}
+
+/// What an administrator does, with documents by small numbers so that they meet.
+#[derive(Clone, Debug)]
+enum Do {
+    Put(u8, u64, Option<u8>),
+    Delete(u8),
+    PutServer(u8, u8, u8),
+    DeleteServer(u8, u8),
+    Finish(usize),
+}
+
+/// What it says that it has seen.
+#[derive(Clone, Copy, Debug)]
+enum Says {
+    Nothing,
+    Absent,
+    Present,
+    Stale,
+}
+
+fn deeds() -> impl Strategy<Value = Vec<(Do, Says)>> {
+    let deed = prop_oneof![
+        (0..4u8, 1..9u64, prop::option::of(0..4u8)).prop_map(|(t, d, a)| Do::Put(t, d, a)),
+        (0..4u8).prop_map(Do::Delete),
+        (0..4u8, 0..3u8, 0..5u8).prop_map(|(t, s, p)| Do::PutServer(t, s, p)),
+        (0..4u8, 0..3u8).prop_map(|(t, s)| Do::DeleteServer(t, s)),
+        (0..3usize).prop_map(Do::Finish),
+    ];
+    let says = prop_oneof![
+        1 => Just(Says::Nothing),
+        4 => Just(Says::Absent),
+        5 => Just(Says::Present),
+        1 => Just(Says::Stale),
+    ];
+    prop::collection::vec((deed, says), 0..80)
+}
+
+/// The plain model: what an administrator believes that there is.
+#[derive(Default)]
+struct Model {
+    revision: u64,
+    active: BTreeMap<String, (u64, u64, TenantSpec)>,
+    servers: BTreeMap<(u64, String), (u64, BackendSpec)>,
+    draining: Vec<u64>,
+}
+
+impl Model {
+    /// The document's revision, if it is there.
+    fn present(&self, edit: &Edit) -> Option<u64> {
+        match edit {
+            Edit::PutTenant { tenant, .. } | Edit::DeleteTenant { tenant } => {
+                self.active.get(tenant).map(|t| t.1)
+            }
+            Edit::PutBackend { tenant, backend, .. } | Edit::DeleteBackend { tenant, backend } => {
+                let uid = self.active.get(tenant)?.0;
+                self.servers.get(&(uid, backend.clone())).map(|s| s.0)
+            }
+            Edit::Finish { .. } => None,
+        }
+    }
+
+    /// Whether the change may be made, and makes it.
+    fn make(&mut self, edit: &Edit, condition: Condition) -> bool {
+        let present = self.present(edit);
+        let creates = matches!(edit, Edit::PutTenant { .. } | Edit::PutBackend { .. });
+        let fits = match condition {
+            Condition::None => false,
+            Condition::Absent => creates && present.is_none(),
+            Condition::Seen(Etag(seen)) => present == Some(seen),
+        };
+        let next = self.revision + 1;
+        match edit {
+            Edit::PutTenant { tenant, spec } => {
+                let mine = self.active.get(tenant).map(|t| t.0);
+                let names = |name: &str, spec: &TenantSpec| {
+                    let orgs = spec.orgs(name).into_iter().map(|o| format!("org {o}"));
+                    let hosts = spec.matches.authorities.iter().map(|a| format!("host {a}"));
+                    orgs.chain(hosts).collect::<Vec<_>>()
+                };
+                let wanted = names(tenant, spec);
+                let taken = self.active.iter().any(|(other, (uid, _, theirs))| {
+                    Some(*uid) != mine && names(other, theirs).iter().any(|name| wanted.contains(name))
+                });
+                if !fits || taken {
+                    return false;
+                }
+                self.active.insert(tenant.clone(), (mine.unwrap_or(next), next, spec.clone()));
+            }
+            Edit::DeleteTenant { tenant } => {
+                if !fits {
+                    return false;
+                }
+                let (uid, ..) = self.active.remove(tenant).unwrap();
+                self.draining.push(uid);
+            }
+            Edit::PutBackend { tenant, backend, spec } => {
+                let Some(&(uid, ..)) = self.active.get(tenant) else { return false };
+                let twin = |((u, id), (_, s)): (&(u64, String), &(u64, BackendSpec))| {
+                    *u == uid && id != backend && s.address == spec.address
+                };
+                if !fits || self.servers.iter().any(twin) {
+                    return false;
+                }
+                self.servers.insert((uid, backend.clone()), (next, spec.clone()));
+            }
+            Edit::DeleteBackend { tenant, backend } => {
+                let Some(&(uid, ..)) = self.active.get(tenant) else { return false };
+                if !fits {
+                    return false;
+                }
+                self.servers.remove(&(uid, backend.clone()));
+            }
+            Edit::Finish { uid } => {
+                if !self.draining.contains(&uid.0) {
+                    return false;
+                }
+                self.draining.retain(|other| *other != uid.0);
+                self.servers.retain(|(other, _), _| *other != uid.0);
+            }
+        }
+        self.revision = next;
+        true
+    }
+}
+
+/// A store's view: the writes in their order, and nothing else.
+#[derive(Default)]
+struct Kept {
+    tenants: BTreeMap<Uid, TenantRecord>,
+    backends: BTreeMap<(Uid, String), Backend>,
+    changes: Vec<Change>,
+}
+
+impl Kept {
+    fn keep(&mut self, commit: &Commit) {
+        for write in commit.writes.iter().cloned() {
+            match write {
+                Write::Tenant(uid, Some(record)) => drop(self.tenants.insert(uid, record)),
+                Write::Tenant(uid, None) => {
+                    self.tenants.remove(&uid);
+                    self.backends.retain(|(other, _), _| *other != uid);
+                }
+                Write::Backend(uid, id, Some(backend)) => drop(self.backends.insert((uid, id), backend)),
+                Write::Backend(uid, id, None) => drop(self.backends.remove(&(uid, id))),
+            }
+        }
+        self.changes.push(commit.change.clone());
+    }
+
+    fn load(&self, revision: u64) -> Catalogue {
+        let tenants = self.tenants.iter().map(|(uid, record)| (*uid, record.clone())).collect();
+        let backends = self.backends.iter().map(|((uid, id), b)| (*uid, id.clone(), b.clone())).collect();
+        Catalogue::load(revision, tenants, backends, self.changes.clone()).unwrap()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_catalogue_is_what_a_plain_list_would_be(deeds in deeds()) {
+        let (mut catalogue, mut model, mut kept) = (Catalogue::default(), Model::default(), Kept::default());
+        for (at, (deed, says)) in deeds.into_iter().enumerate() {
+            let edit = match deed {
+                Do::Put(t, deadline, host) => Edit::PutTenant { tenant: format!("t{t}"), spec: spec(deadline, host) },
+                Do::Delete(t) => Edit::DeleteTenant { tenant: format!("t{t}") },
+                Do::PutServer(t, s, port) => Edit::PutBackend {
+                    tenant: format!("t{t}"), backend: format!("s{s}"), spec: server(port),
+                },
+                Do::DeleteServer(t, s) => Edit::DeleteBackend { tenant: format!("t{t}"), backend: format!("s{s}") },
+                Do::Finish(n) => Edit::Finish { uid: Uid(model.draining.get(n).copied().unwrap_or(999)) },
+            };
+            let condition = match (says, model.present(&edit)) {
+                (Says::Nothing, _) => Condition::None,
+                (Says::Absent, _) | (Says::Present, None) => Condition::Absent,
+                (Says::Present, Some(revision)) => Condition::Seen(Etag(revision)),
+                (Says::Stale, present) => Condition::Seen(Etag(present.map_or(7, |revision| revision - 1))),
+            };
+            let before = catalogue.clone();
+            let taken = match catalogue.prepare(edit.clone(), condition, "proptest", at as u64) {
+                Ok(commit) => {
+                    kept.keep(&commit);
+                    // Not twice, and not on top of another revision.
+                    let again = commit.clone();
+                    let touched = catalogue.apply(commit).unwrap();
+                    prop_assert!(touched.contains(&again.change.uid));
+                    prop_assert!(catalogue.apply(again).is_err());
+                    true
+                }
+                Err(_) => {
+                    prop_assert!(catalogue == before);
+                    false
+                }
+            };
+            prop_assert_eq!(taken, model.make(&edit, condition), "{:?} {:?}", edit, condition);
+            prop_assert_eq!(catalogue.revision(), model.revision);
+            // What a store kept gives the same catalogue.
+            prop_assert!(kept.load(catalogue.revision()) == catalogue);
+        }
+        // The documents.
+        let active: Vec<_> = catalogue.page(None, usize::MAX).map(|t| (t.name.clone(), t.uid.0, t.revision)).collect();
+        let wanted: Vec<_> = model.active.iter().map(|(name, (uid, rev, _))| (name.clone(), *uid, *rev)).collect();
+        prop_assert_eq!(active, wanted);
+        for tenant in catalogue.tenants() {
+            let theirs: Vec<_> = model.servers.iter().filter(|((uid, _), _)| *uid == tenant.uid.0).collect();
+            prop_assert_eq!(tenant.backends.len(), theirs.len());
+            for ((_, id), (revision, spec)) in theirs {
+                let backend = &tenant.backends[id];
+                prop_assert_eq!((&backend.spec, backend.revision), (spec, *revision));
+            }
+            // Shared servers are loaded as if one tenant had them.
+            for member in catalogue.members(tenant.uid) {
+                let sharers = model.active.values().filter(|(uid, ..)| {
+                    model.servers.iter().any(|((u, _), (_, s))| u == uid && s.address == member.address)
+                });
+                prop_assert_eq!(member.size, 1.0 / sharers.count().max(1) as f64);
+                prop_assert_eq!(member.in_service, tenant.state == State::Active);
+            }
+        }
+        // Every change is in the history, in order and once.
+        let revisions: Vec<u64> = catalogue.changes_after(0).unwrap().map(|change| change.revision).collect();
+        prop_assert_eq!(revisions, (1..=model.revision).collect::<Vec<_>>());
+        let last = catalogue.changes_after(model.revision / 2).unwrap().count() as u64;
+        prop_assert_eq!(last, model.revision - model.revision / 2);
+    }
+}
+
+#[test]
+fn a_name_that_is_used_again_is_another_tenant() {
+    let mut catalogue = Catalogue::default();
+    let mut make = |edit, condition| {
+        let commit = catalogue.prepare(edit, condition, "op", 5).unwrap();
+        let uid = commit.change.uid;
+        catalogue.apply(commit).unwrap();
+        (uid, catalogue.clone())
+    };
+    let put = || Edit::PutTenant { tenant: "acme".into(), spec: spec(1_000, None) };
+    let (first, _) = make(put(), Condition::Absent);
+    let delete = Edit::DeleteTenant { tenant: "acme".into() };
+    make(delete, Condition::Seen(Etag(1)));
+    let (second, catalogue_now) = make(put(), Condition::Absent);
+    assert_ne!(first, second);
+    assert_eq!(catalogue_now.tenant(first).unwrap().state, State::Draining);
+    assert_eq!(catalogue_now.active("acme").unwrap().uid, second);
+    let (_, catalogue_now) = make(Edit::Finish { uid: first }, Condition::None);
+    assert!(catalogue_now.tenant(first).is_none() && catalogue_now.active("acme").is_some());
+}
+
+#[test]
+fn a_server_counts_as_cold_from_when_it_came_unless_told_otherwise() {
+    let mut catalogue = Catalogue::default();
+    let mut make = |edit, condition, now| {
+        let commit = catalogue.prepare(edit, condition, "op", now).unwrap();
+        let (uid, revision) = (commit.change.uid, commit.change.revision);
+        catalogue.apply(commit).unwrap();
+        (catalogue.members(uid), Etag(revision))
+    };
+    make(Edit::PutTenant { tenant: "a".into(), spec: spec(1_000, None) }, Condition::Absent, 1);
+    let put = |spec| Edit::PutBackend { tenant: "a".into(), backend: "s".into(), spec };
+    let (members, etag) = make(put(server(1)), Condition::Absent, 100);
+    assert_eq!(members[0].since_ms, 100);
+    // Another size is no new process; another address is; the operator knows best.
+    let (members, etag) = make(put(BackendSpec { size: 2.0, ..server(1) }), Condition::Seen(etag), 200);
+    assert_eq!((members[0].since_ms, members[0].size), (100, 2.0));
+    let (members, etag) = make(put(server(2)), Condition::Seen(etag), 300);
+    assert_eq!(members[0].since_ms, 300);
+    let (members, etag) =
+        make(put(BackendSpec { started_ms: Some(0), ..server(2) }), Condition::Seen(etag), 400);
+    assert_eq!(members[0].since_ms, 0);
+    let gone = Edit::DeleteBackend { tenant: "a".into(), backend: "s".into() };
+    let (members, _) = make(gone, Condition::Seen(etag), 500);
+    assert!(members.is_empty());
+    let (members, _) = make(put(server(2)), Condition::Absent, 560);
+    assert_eq!(members[0].since_ms, 560);
+}
+
+#[test]
+fn the_history_says_when_it_does_not_reach_back() {
+    let mut catalogue = Catalogue::default();
+    for n in 0..catalogue::MOST_CHANGES as u64 + 10 {
+        let condition = if n == 0 { Condition::Absent } else { Condition::Seen(Etag(n)) };
+        let edit = Edit::PutTenant { tenant: "a".into(), spec: spec(1_000, None) };
+        let commit = catalogue.prepare(edit, condition, "op", 0).unwrap();
+        catalogue.apply(commit).unwrap();
+    }
+    assert!(catalogue.changes_after(9).is_none());
+    assert_eq!(catalogue.changes_after(10).unwrap().count(), catalogue::MOST_CHANGES);
+}
+
+#[test]
+fn records_that_make_no_sense_are_not_loaded() {
+    let record =
+        |name: &str, revision, spec| TenantRecord { name: name.into(), state: State::Active, revision, spec };
+    let load = |tenants, backends| Catalogue::load(5, tenants, backends, vec![]);
+    let good = || (Uid(1), record("a", 5, spec(1_000, None)));
+    assert!(load(vec![good()], vec![]).is_ok());
+    let newer = load(vec![(Uid(1), record("a", 6, spec(1_000, None)))], vec![]);
+    assert!(newer.unwrap_err().contains("newer"));
+    let twins = load(vec![good(), (Uid(2), record("a", 5, spec(1_000, None)))], vec![]);
+    assert!(twins.unwrap_err().contains("two tenants"));
+    assert!(load(vec![(Uid(1), record("a", 5, spec(0, None)))], vec![]).unwrap_err().contains("deadline_ms"));
+    let stray = (Uid(9), "s".to_owned(), Backend { spec: server(1), revision: 2, added_ms: 0 });
+    assert!(load(vec![good()], vec![stray]).unwrap_err().contains("no tenant"));
+}
+
+#[test]
+fn tags_are_read_strictly() {
+    assert_eq!("\"r7\"".parse(), Ok(Etag(7)));
+    assert_eq!(Etag(7).to_string(), "\"r7\"");
+    for odd in
+        ["r7", "\"7\"", "W/\"r7\"", "\"r\"", "\"r-7\"", "\"r+7\"", "*", "", "\"r99999999999999999999\""]
+    {
+        assert!(odd.parse::<Etag>().is_err(), "{odd}");
+    }
+}
