Make a pool of driver, module and connections, and a front that finds it

Many tenants need many decision modules. The driver, its module and its servers are a pool now, which ends when nobody can ask it any more; the front asks a Directory whose request it is, whether it may come in and whether there is room. The platform's node is a directory of one. Sockets are one budget over all pools; time on the core can be counted by tenant, and is not on the platform.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -11,7 +11,7 @@
 use woodgap_decisions::Settings;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::discovery::List;
+use crate::sources::discovery::List;
 
 /// The file's form; unknown keys are ignored.
 #[derive(Deserialize)]
--- a/crates/node/src/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -1,6 +1,6 @@
 //! A client connection as the node sees it: what it waits for and since when.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,6 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use woodgap_tenancy::Uid;
+
+use crate::front::Seat;
 
 /// The longest time from connecting, or from a later request's first byte, to the request's last:
 /// clients that say nothing or little hold a place that others need.
@@ -48,6 +51,8 @@
     pub close: Notify,
     /// When the first request must have come.
     first_by: Instant,
+    /// The tenant of its latest request, and its place among that tenant's connections.
+    pub seat: RefCell<Option<(Uid, Seat)>>,
 }
 
 impl Conn {
@@ -60,6 +65,7 @@
             requests: Cell::new(0),
             close: Notify::new(),
             first_by: now + first,
+            seat: RefCell::default(),
         })
     }
 
@@ -107,6 +113,16 @@
         self.since.get().elapsed().as_secs_f64() / after.as_secs_f64()
     }
 
+    /// The tenant of its latest request.
+    pub fn tenant(&self) -> Option<Uid> {
+        self.seat.borrow().as_ref().map(|(uid, _)| *uid)
+    }
+
+    /// For how long it has had nothing open.
+    pub fn idle(&self) -> Option<Duration> {
+        (self.phase.get() == Phase::Idle).then(|| self.since.get().elapsed())
+    }
+
     /// Has it closed. `abrupt` is for those on which no request is open.
     pub fn shut(&self, abrupt: bool) {
         if abrupt {
--- a/crates/node/src/clients.rs
+++ b/crates/node/src/front/http1.rs
@@ -1,7 +1,7 @@
-//! The clients' side: connections, requests in, answers out.
+//! HTTP/1.1 from clients: connections, requests in, answers out.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,23 +10,27 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use woodgap_decisions::settings::Names;
-use woodgap_decisions::{ClassId, Settings, TenantId};
+use woodgap_decisions::{ClassId, TenantId};
+use woodgap_tenancy::Uid;
 
-use crate::conn::{Conn, Phase, Socket, SLOW};
-use crate::driver::{Answer, Arrival, Msg};
-use crate::exchange::{Call, LONGEST_BODY};
-use crate::request::{drop_hop_headers, Fault, Head};
-use crate::servers::Servers;
+use super::conn::{Conn, Phase, Socket, SLOW};
+use super::request::{drop_hop_headers, Fault, Head};
+use super::{Directory, Turned};
+use crate::meter::{metered, Meter};
+use crate::pool::driver::{Answer, Arrival, Msg};
+use crate::pool::{bump, Service};
+use crate::sockets::Sockets;
 use crate::task::{Budget, Permit};
+use crate::upstream::exchange::{Call, LONGEST_BODY};
 
 /// Most bytes and fields of a request's head.
 const LONGEST_HEAD: usize = 16 * 1024;
@@ -40,7 +44,7 @@
 /// the node closes to send its request.
 const REFUSAL: Duration = Duration::from_secs(1);
 /// When to come back to a node that has no room.
-const OVERFULL: Duration = Duration::from_millis(500);
+pub const OVERFULL: Duration = Duration::from_millis(500);
 /// Past this part of the places a connection ends with the answer to its first request, and past the
 /// greater one any does: crowds that ask once and stay would shut others out until they may be closed.
 const CROWDED: f64 = 0.6;
@@ -52,19 +56,14 @@
 
 /// What all client connections share.
 pub struct Clients {
-    settings: Settings,
-    names: Names,
-    open_cap: usize,
-    servers: Rc<Servers>,
-    /// Sockets of clients, of all, and of clients that are only told to go.
+    directory: Rc<dyn Directory>,
+    /// Whether refusals say when to come back.
+    retry_after: bool,
+    sockets: Rc<Sockets>,
+    /// Sockets of clients, and of clients that are only told to go.
     budget: Rc<Budget>,
     overflow: Rc<Budget>,
-    tx: mpsc::UnboundedSender<Msg>,
     next_id: Cell<u64>,
-    /// Requests that hold memory: from their head to their answer.
-    held: Cell<usize>,
-    /// What clients call the requests that are open.
-    open: RefCell<HashSet<String>>,
     next_conn: Cell<u64>,
     conns: RefCell<HashMap<u64, Rc<Conn>>>,
     draining: Cell<bool>,
@@ -75,49 +74,57 @@
 }
 
 impl Clients {
+    /// Clients whose connections take at most the first budget, and past it the second to be refused.
     pub fn new(
-        settings: Settings,
-        names: Names,
-        open_cap: usize,
-        servers: Rc<Servers>,
+        directory: Rc<dyn Directory>,
+        retry_after: bool,
+        sockets: Rc<Sockets>,
         budgets: (Rc<Budget>, Rc<Budget>),
-        tx: mpsc::UnboundedSender<Msg>,
     ) -> Rc<Self> {
-        Rc::new(Clients {
-            settings,
-            names,
-            open_cap,
-            servers,
+        let clients = Rc::new(Clients {
+            directory,
+            retry_after,
+            sockets,
             budget: budgets.0,
             overflow: budgets.1,
-            tx,
             next_id: Cell::new(1),
-            held: Cell::new(0),
-            open: RefCell::default(),
             next_conn: Cell::new(0),
             conns: RefCell::default(),
             draining: Cell::new(false),
             closing: Cell::new(false),
             ended: Notify::new(),
-        })
+        });
+        spawn_local(clients.clone().look_over());
+        clients
+    }
+
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.conns.borrow().len()
+    }
+
+    /// Ends the connections of a tenant that is no more: idle ones at once, others with their answer.
+    pub fn close_of(&self, uid: Uid) {
+        let conns = self.conns.borrow();
+        conns.values().filter(|conn| conn.tenant() == Some(uid)).for_each(|conn| conn.shut(false));
     }
 
     /// Accepts for as long as the node lives, after SIGTERM too: what is written to a connection
     /// in the backlog counts as taken.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        spawn_local(self.clone().look_over());
+    /// `name` is what tenants may be named by.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, name: Rc<str>) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
                     let (permits, refuse) = self.place().await;
-                    spawn_local(self.clone().serve(stream, permits, refuse));
+                    spawn_local(self.clone().serve(stream, permits, refuse, name.clone()));
                 }
                 Err(error) => {
                     // Out of descriptors, accept fails at once and the connection stays: without
                     // a pause this loop would take the core that could close some.
                     crate::log::line(format_args!("accept: {error}"));
-                    self.servers.evict();
+                    self.sockets.evict();
                     sleep(Duration::from_millis(10)).await;
                 }
             }
@@ -129,7 +136,7 @@
     async fn place(&self) -> ((Permit, Option<Permit>), bool) {
         loop {
             if let Some(own) = self.budget.take() {
-                if let Some(socket) = self.servers.permit().await {
+                if let Some(socket) = self.sockets.permit().await {
                     return ((own, Some(socket)), false);
                 }
             }
@@ -142,12 +149,16 @@
         }
     }
 
-    /// Closes the most dispensable connection, if one may be closed.
+    /// Closes the most dispensable connection, if one may be closed: one that has been idle for long, or
+    /// any idle one of a tenant with more than its part.
     fn evict(&self) -> bool {
         let conns = self.conns.borrow();
-        let most = conns.values().max_by(|a, b| a.spare().total_cmp(&b.spare()));
-        let most = most.filter(|conn| conn.spare() >= 1.0);
-        most.inspect(|conn| conn.shut(true)).is_some()
+        let spare = |conn: &Conn| match (conn.tenant(), conn.idle()) {
+            (Some(uid), Some(idle)) if self.directory.is_over(uid) => 1.0 + idle.as_secs_f64(),
+            _ => conn.spare(),
+        };
+        let most = conns.values().map(|conn| (spare(conn), conn)).max_by(|a, b| a.0.total_cmp(&b.0));
+        most.filter(|(spare, _)| *spare >= 1.0).inspect(|(_, conn)| conn.shut(true)).is_some()
     }
 
     /// Closes connections on which a request takes too long to come, for as long as the node lives.
@@ -160,21 +171,30 @@
     }
 
     /// Serves a connection until it ends; past the budget only to say so.
-    async fn serve(self: Rc<Self>, stream: TcpStream, permits: (Permit, Option<Permit>), refuse: bool) {
+    async fn serve(
+        self: Rc<Self>,
+        stream: TcpStream,
+        permits: (Permit, Option<Permit>),
+        refuse: bool,
+        listener: Rc<str>,
+    ) {
         // One that comes this late still gets its one request answered: it counts as taken.
         let last = self.closing.get();
         let conn = Conn::new(if refuse || last { REFUSAL } else { SLOW });
         let number = self.next_conn.replace(self.next_conn.get() + 1);
         self.conns.borrow_mut().insert(number, conn.clone());
-        let (clients, state) = (self.clone(), conn.clone());
+        // Until its first request nobody's: counted for no tenant that may be refused.
+        let meter = self.directory.core().map(|core| Meter::new(core.clone(), Uid(0), 1));
+        let (clients, state, turns) = (self.clone(), conn.clone(), meter.clone());
         let service = service_fn(move |request| {
-            let (clients, state) = (clients.clone(), state.clone());
+            let (clients, state, turns) = (clients.clone(), state.clone(), turns.clone());
+            let listener = listener.clone();
             async move {
                 let body_by = state.opened();
                 let (mut response, keep) = if refuse {
-                    (clients.refusal(Some(OVERFULL)), false)
+                    (clients.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", Some(OVERFULL)), false)
                 } else {
-                    clients.handle(request, body_by).await
+                    clients.handle(request, body_by, &state, &listener, turns).await
                 };
                 let crowded = clients.budget.part() > if state.is_first() { CROWDED } else { FULL };
                 if !keep || crowded || clients.draining.get() {
@@ -190,18 +210,21 @@
                 .max_buf_size(LONGEST_HEAD)
                 .max_headers(MOST_HEADERS)
                 .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
-            let mut connection = std::pin::pin!(connection);
-            loop {
-                tokio::select! {
-                    _ = connection.as_mut() => break,
-                    () = conn.close.notified() => {}
+            metered(meter, async {
+                let mut connection = std::pin::pin!(connection);
+                loop {
+                    tokio::select! {
+                        _ = connection.as_mut() => break,
+                        () = conn.close.notified() => {}
+                    }
+                    if conn.is_abrupt() {
+                        break;
+                    }
+                    // Idle ones end at once, others with their answer.
+                    connection.as_mut().graceful_shutdown();
                 }
-                if conn.is_abrupt() {
-                    break;
-                }
-                // Idle ones end at once, others with their answer.
-                connection.as_mut().graceful_shutdown();
-            }
+            })
+            .await;
         }
         // The socket is closed: its place may go to another.
         self.conns.borrow_mut().remove(&number);
@@ -218,42 +241,81 @@
         self.conns.borrow().values().for_each(|conn| conn.shut(false));
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+        let longest = self.directory.longest();
         let all_ended = async {
             while !self.conns.borrow().is_empty() {
                 self.ended.notified().await;
             }
         };
-        let _ = timeout(Duration::from_micros(longest) + DRAIN, all_ended).await;
+        let _ = timeout(longest + DRAIN, all_ended).await;
     }
 
     /// The answer, and whether the connection may be kept after it.
-    async fn handle(&self, request: Request<Incoming>, body_by: Instant) -> (Response<Full<Bytes>>, bool) {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        body_by: Instant,
+        conn: &Conn,
+        listener: &str,
+        meter: Option<Rc<Meter>>,
+    ) -> (Response<Full<Bytes>>, bool) {
         match request.uri().path() {
             "/-/ready" if request.method() == Method::GET => {
                 let ready = !self.draining.get();
                 (plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""), true)
             }
-            "/api" => match self.call(request, body_by).await {
-                Ok(response) => (response, true),
-                // Who sends what can't be used is not trusted with where its next request begins.
-                Err((status, why)) => (plain(status, why), false),
-            },
+            "/api" => {
+                let (parts, body) = request.into_parts();
+                let service = match self.directory.find(listener, &parts) {
+                    Ok(service) => service,
+                    Err((status, why)) => return (plain(status, why), false),
+                };
+                if let Some(meter) = meter {
+                    meter.is_for(service.account.uid, service.weight.get());
+                }
+                let keep = self.sit(conn, &service);
+                match self.call(parts, body, body_by, &service).await {
+                    Ok(response) => (response, keep),
+                    // Who sends what can't be used is not trusted with where its next request begins.
+                    Err((status, why)) => (plain(status, why), false),
+                }
+            }
             _ => (plain(StatusCode::NOT_FOUND, "no such path\n"), false),
         }
     }
 
+    /// Counts a connection for the tenant of its request; whether it may stay.
+    fn sit(&self, conn: &Conn, service: &Rc<Service>) -> bool {
+        if conn.tenant() == Some(service.account.uid) {
+            return true;
+        }
+        *conn.seat.borrow_mut() = None;
+        let Some(seat) = self.directory.seat(service) else { return false };
+        *conn.seat.borrow_mut() = Some((service.account.uid, seat));
+        true
+    }
+
     async fn call(
         &self,
-        request: Request<Incoming>,
+        parts: Parts,
+        body: Incoming,
         body_by: Instant,
+        service: &Rc<Service>,
     ) -> Result<Response<Full<Bytes>>, Fault> {
-        let (parts, body) = request.into_parts();
-        let head = Head::read(parts, body.size_hint().lower(), &self.settings, &self.names)?;
-        if self.held.get() >= self.open_cap {
-            return Ok(self.refusal(Some(OVERFULL)));
+        let account = &service.account;
+        if let Err(turned) = self.directory.door(service) {
+            bump(&account.refused);
+            return Ok(self.turned(turned));
         }
-        let _memory = Counted::new(&self.held);
+        let size = body.size_hint().lower();
+        let head = Head::read(parts, size, &service.settings, &service.names, service.orgs)?;
+        let _place = match self.directory.hold(service, size) {
+            Ok(place) => place,
+            Err(turned) => {
+                bump(&account.refused);
+                return Ok(self.turned(turned));
+            }
+        };
         let body = match timeout_at(body_by, Limited::new(body, LONGEST_BODY).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
@@ -262,12 +324,16 @@
             Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
             Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
         };
+        // It may have been deleted while the body came: nothing new is taken from then on.
+        if account.closed.get() {
+            return Err(super::NO_TENANT);
+        }
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
         let id = self.next_id.replace(self.next_id.get() + 1);
         // Servers tell requests apart by what clients call them: a second one under an open id would
         // run its effect twice, or be answered with the other's answer.
-        let Some(_waiting) = Waiting::new(self, id, head.txn) else {
+        let Some(_waiting) = Waiting::new(service, id, head.txn) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
         };
         let (reply, answer) = oneshot::channel();
@@ -282,22 +348,42 @@
             call: Rc::new(Call { method: head.method, target: head.target, headers: head.headers, body }),
             reply,
         };
-        if self.tx.send(Msg::Request(Box::new(arrival))).is_err() {
-            return Ok(self.refusal(Some(OVERFULL)));
+        if service.tx.send(Msg::Request(Box::new(arrival))).is_err() {
+            return Ok(self.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", Some(OVERFULL)));
         }
         Ok(match answer.await {
-            Ok(Answer::Served(headers, body)) => served(headers, body),
-            Ok(Answer::Refused(wait)) => self.refusal(wait),
-            Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-            Ok(Answer::Late) | Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+            Ok(Answer::Served(headers, body)) => {
+                bump(&account.served);
+                served(headers, body)
+            }
+            Ok(Answer::Refused(wait)) => {
+                bump(&account.refused);
+                self.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", wait)
+            }
+            Ok(Answer::Failed) => {
+                bump(&account.failed);
+                plain(StatusCode::BAD_GATEWAY, "failed\n")
+            }
+            Ok(Answer::Late) | Err(_) => {
+                bump(&account.failed);
+                plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
+            }
         })
     }
 
+    fn turned(&self, turned: Turned) -> Response<Full<Bytes>> {
+        self.refusal(turned.status, turned.why, Some(turned.wait))
+    }
+
     /// A refusal: trying again is harmless.
-    fn refusal(&self, wait: Option<Duration>) -> Response<Full<Bytes>> {
-        let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-        let advice =
-            wait.filter(|_| self.settings.retry_after).map(|wait| format!("{:.3}", wait.as_secs_f64()));
+    fn refusal(
+        &self,
+        status: StatusCode,
+        why: &'static str,
+        wait: Option<Duration>,
+    ) -> Response<Full<Bytes>> {
+        let mut response = plain(status, why);
+        let advice = wait.filter(|_| self.retry_after).map(|wait| format!("{:.3}", wait.as_secs_f64()));
         if let Some(value) = advice.and_then(|text| HeaderValue::from_str(&text).ok()) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
@@ -305,42 +391,26 @@
     }
 }
 
-/// One more of something, until dropped.
-struct Counted<'a>(&'a Cell<usize>);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Counted(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// A request that waits for its answer. The connection's future drops it when the client goes.
 struct Waiting<'a> {
-    clients: &'a Clients,
+    service: &'a Rc<Service>,
     id: u64,
     txn: String,
 }
 
 impl<'a> Waiting<'a> {
     /// `None` where the client's name for it is taken.
-    fn new(clients: &'a Clients, id: u64, txn: String) -> Option<Self> {
-        let new = clients.open.borrow_mut().insert(txn.clone());
-        new.then(|| Waiting { clients, id, txn })
+    fn new(service: &'a Rc<Service>, id: u64, txn: String) -> Option<Self> {
+        let new = service.account.open.borrow_mut().insert(txn.clone());
+        new.then(|| Waiting { service, id, txn })
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.clients.open.borrow_mut().remove(&self.txn);
+        self.service.account.open.borrow_mut().remove(&self.txn);
         // For one that was answered the driver has forgotten the id, or knows it as ended.
-        let _ = self.clients.tx.send(Msg::Gone(self.id));
+        let _ = self.service.tx.send(Msg::Gone(self.id));
     }
 }
 
--- /dev/null
+++ b/crates/node/src/front/mod.rs
@@ -0,0 +1,76 @@
+//! The front: what clients speak, and which pool a request goes to.
+//!
+//! ```text
+//!   listener ─▶ http1: connections, places ─▶ Directory::find (whose is it?)
+//!                                               ─▶ Directory::door (quota, time on the core)
+//!                                               ─▶ request::Head (can it be read?)
+//!                                               ─▶ Directory::hold (room to hold it) ─▶ Service::tx ─▶ pool
+//! ```
+//!
+//! Nothing downstream of the front knows which protocol a request came by. The [`Directory`] owns the
+//! services; the front owns the connections and what it holds of a request until its answer.
+
+pub mod conn;
+pub mod http1;
+pub mod request;
+
+use std::any::Any;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::http::request::Parts;
+use hyper::StatusCode;
+use woodgap_tenancy::Uid;
+
+use crate::meter::Core;
+use crate::pool::Service;
+use request::Fault;
+
+/// What a request is told that names no tenant.
+pub const NO_TENANT: Fault = (StatusCode::NOT_FOUND, "no such tenant\n");
+
+/// A place that is given back when it is dropped.
+pub type Seat = Box<dyn Any>;
+
+/// A refusal at the door: trying again is harmless.
+pub struct Turned {
+    /// 429 or 503.
+    pub status: StatusCode,
+    /// For people.
+    pub why: &'static str,
+    /// When to come back.
+    pub wait: Duration,
+}
+
+/// Which service a request goes to, and whether it may.
+pub trait Directory {
+    /// The service of a request that came in at a listener.
+    fn find(&self, listener: &str, head: &Parts) -> Result<Rc<Service>, Fault>;
+
+    /// Whether a request of the service may come in at all; must cost little.
+    fn door(&self, _service: &Rc<Service>) -> Result<(), Turned> {
+        Ok(())
+    }
+
+    /// Room to hold a request with this much body.
+    fn hold(&self, service: &Rc<Service>, body: u64) -> Result<Seat, Turned>;
+
+    /// Room for a connection among those of the service's tenant; without it the connection ends with
+    /// its answer.
+    fn seat(&self, _service: &Rc<Service>) -> Option<Seat> {
+        Some(Box::new(()))
+    }
+
+    /// Whether a tenant has more connections than its part.
+    fn is_over(&self, _uid: Uid) -> bool {
+        false
+    }
+
+    /// The longest that a request may take: after it all that was taken has its answer.
+    fn longest(&self) -> Duration;
+
+    /// Where the time on the core is counted, if it is.
+    fn core(&self) -> Option<&Rc<Core>> {
+        None
+    }
+}
--- a/crates/node/src/request.rs
+++ b/crates/node/src/front/request.rs
@@ -9,7 +9,7 @@
 use woodgap_decisions::{Key, Micros, Semantics, Settings};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::exchange::LONGEST_BODY;
+use crate::upstream::exchange::LONGEST_BODY;
 
 /// The longest id of a request.
 const LONGEST_ID: usize = 128;
@@ -43,8 +43,15 @@
 }
 
 impl Head {
-    /// Reads a head. `body` tells how much body there is at least.
-    pub fn read(head: Parts, body: u64, settings: &Settings, names: &Names) -> Result<Head, Fault> {
+    /// Reads a head. `body` tells how much body there is at least, `orgs` whether `X-Org` names one of
+    /// the module's tenants.
+    pub fn read(
+        head: Parts,
+        body: u64,
+        settings: &Settings,
+        names: &Names,
+        orgs: bool,
+    ) -> Result<Head, Fault> {
         let headers = &head.headers;
         // The library drops a Content-Length beside it without a trace, so the two can't be told
         // from one: such a request may hide another in its body.
@@ -74,8 +81,8 @@
         let class = text("x-lane").ok().flatten().and_then(|name| names.class(name));
         let class = class.ok_or(bad("X-Lane names no known class\n"))?;
         let tenant = match text("x-org").map_err(|_| bad("X-Org is not text\n"))? {
-            None => None,
-            Some(name) => Some(names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
+            Some(name) if orgs => Some(names.tenant(name).ok_or(bad("X-Org names no known tenant\n"))?),
+            _ => None,
         };
         let class_of = &settings.classes[class];
         let (safe, keyed) = match class_of.semantics {
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,27 @@
+//! One node of the load balancer, on real sockets.
+//!
+//! ```text
+//!                       admin (own thread) ── Edit ─▶ tenancy::Catalogue ◀─▶ store
+//!                                                          │ Update
+//!   clients ─▶ front (http1) ─▶ hosted::Directory ─▶ pool (one a tenant: driver, decisions) ─▶ upstream ─▶ servers
+//!                              platform: one service          ▲
+//!                                                   sources (discovery, catalogue)
+//! ```
+//!
+//! - `front` owns client connections; it knows the protocol, finds the tenant and asks for room.
+//! - `pool` owns one decision module and carries its actions out; `upstream` owns connections to servers.
+//! - [`platform`] is the platform's node: one tenant, one pool, `BALANCER_CONFIG`.
+//!
+//! Everything of the data path runs on one thread: what it shares are `Rc` and `Cell`, never locks.
+
+mod config;
+mod front;
+mod log;
+mod meter;
+mod peers;
+pub mod platform;
+mod pool;
+mod sockets;
+mod sources;
+mod task;
+mod upstream;
--- /dev/null
+++ b/crates/node/src/meter.rs
@@ -0,0 +1,100 @@
+//! Whose work takes the core's time.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Instant;
+
+use woodgap_tenancy::shares::CoreTime;
+use woodgap_tenancy::Uid;
+
+/// The time of the node's core, counted by tenant. The platform's node has none.
+pub struct Core {
+    start: Instant,
+    time: RefCell<CoreTime>,
+}
+
+impl Core {
+    /// Nothing used yet.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Core { start: Instant::now(), time: RefCell::default() })
+    }
+
+    /// Microseconds since the node's start.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    /// Whether new work of a tenant may have a turn.
+    pub fn admit(&self, uid: Uid) -> bool {
+        self.time.borrow().admit(self.now(), uid)
+    }
+
+    /// The part of the core that all use, and one tenant: 0 to about 1.
+    pub fn use_of(&self, uid: Uid) -> (f64, f64) {
+        let time = self.time.borrow();
+        (time.busy(self.now()), time.used_by(self.now(), uid))
+    }
+
+    /// Forgets tenants that used none for long.
+    pub fn tidy(&self) {
+        self.time.borrow_mut().tidy(self.now());
+    }
+}
+
+/// Counts the time of some work for the tenant that it is done for.
+pub struct Meter {
+    core: Rc<Core>,
+    /// The tenant and its weight; for a client's connection that of its latest request.
+    of: Cell<(Uid, u32)>,
+}
+
+impl Meter {
+    /// Counts for this tenant, of this weight.
+    pub fn new(core: Rc<Core>, uid: Uid, weight: u32) -> Rc<Self> {
+        Rc::new(Meter { core, of: Cell::new((uid, weight)) })
+    }
+
+    /// Counts for another tenant from now on.
+    pub fn is_for(&self, uid: Uid, weight: u32) {
+        self.of.set((uid, weight));
+    }
+
+    fn charge(&self, since: Instant) {
+        let (uid, weight) = self.of.get();
+        let spent = since.elapsed().as_secs_f64() * 1e6;
+        self.core.time.borrow_mut().charge(self.core.now(), uid, weight, spent);
+    }
+}
+
+/// Runs a future and counts the time of its turns, where there is a meter.
+pub async fn metered<F: Future>(meter: Option<Rc<Meter>>, future: F) -> F::Output {
+    let Some(meter) = meter else { return future.await };
+    let mut future = std::pin::pin!(future);
+    std::future::poll_fn(move |cx| {
+        let since = Instant::now();
+        let ready = future.as_mut().poll(cx);
+        meter.charge(since);
+        ready
+    })
+    .await
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn turns_are_counted_for_whom_they_are_taken() {
+        let core = Core::new();
+        let meter = Meter::new(core.clone(), Uid(1), 1);
+        metered(Some(meter.clone()), async {
+            let since = Instant::now();
+            while since.elapsed().as_millis() < 5 {}
+            tokio::task::yield_now().await;
+        })
+        .await;
+        let (all, first) = core.use_of(Uid(1));
+        assert!(all > 0.0 && first > 0.0 && core.use_of(Uid(2)).1 == 0.0);
+    }
+}
--- /dev/null
+++ b/crates/node/src/platform.rs
@@ -0,0 +1,152 @@
+//! The platform's node: one tenant with one pool, told by `BALANCER_CONFIG`. See `deploy/balancer.toml`.
+//!
+//! The node decides nothing. It turns what happens on its sockets into the module's events and
+//! carries out the module's actions.
+
+use std::error::Error;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::http::request::Parts;
+use hyper::StatusCode;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, LocalSet};
+use woodgap_decisions::settings::Names;
+use woodgap_decisions::Settings;
+
+use crate::config::{self, Config};
+use crate::front::http1::{Clients, OVERFULL};
+use crate::front::request::Fault;
+use crate::front::{Directory, Seat, Turned};
+use crate::peers::Peers;
+use crate::pool::driver::{Driver, Msg};
+use crate::pool::{Account, Counted, Service};
+use crate::sockets::Sockets;
+use crate::task::Budget;
+use crate::upstream::exchange;
+use crate::upstream::servers::Servers;
+
+/// Descriptors that are not sockets of clients or servers: the standard ones, the runtime's, the
+/// listener, discovery, the peers' socket, and some that the system has not closed yet.
+pub(crate) const RESERVE: usize = 24;
+/// Connections past the budget that are told so at a time.
+pub(crate) const OVERFLOW: usize = 16;
+/// Clients' part of the sockets: requests in flight need as many to servers, and clients keep idle
+/// connections too.
+pub(crate) const CLIENTS: f64 = 0.6;
+/// A request held may have a whole body and a whole answer in memory; half of it is for them.
+pub(crate) const HELD_BYTES: usize = 4 * exchange::LONGEST_BODY;
+
+/// The one service of the platform's node.
+struct Single {
+    service: Rc<Service>,
+    open_cap: usize,
+}
+
+impl Single {
+    fn new(settings: Settings, names: Names, open_cap: usize, tx: mpsc::UnboundedSender<Msg>) -> Rc<Self> {
+        let account = Rc::new(Account::default());
+        let service = Service { settings, names, orgs: true, tx, account, weight: 1.into() };
+        Rc::new(Single { service: Rc::new(service), open_cap })
+    }
+}
+
+impl Directory for Single {
+    fn find(&self, _: &str, _: &Parts) -> Result<Rc<Service>, Fault> {
+        Ok(self.service.clone())
+    }
+
+    fn hold(&self, service: &Rc<Service>, _: u64) -> Result<Seat, Turned> {
+        if service.account.held.get() >= self.open_cap {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Err(Turned { status, why: "refused\n", wait: OVERFULL });
+        }
+        Ok(Box::new(Counted::new(service.account.clone(), |account| &account.held)))
+    }
+
+    fn longest(&self) -> Duration {
+        let classes = &self.service.settings.classes;
+        Duration::from_micros(classes.iter().map(|class| class.deadline).max().unwrap_or(0))
+    }
+}
+
+async fn run(config: Config, path: String) -> Result<(), Box<dyn Error>> {
+    // Before the node is ready: an unhandled SIGHUP ends the process.
+    let mut term = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let listener = TcpListener::bind(config.listen).await?;
+    let listen = listener.local_addr()?;
+    let peers = match config.peer_listen {
+        Some(listen) => Some(Peers::bind(listen, config.peers.clone(), config.peers_all).await?),
+        None => None,
+    };
+    let (tx, rx) = mpsc::unbounded_channel();
+    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW).max(2);
+    let sockets = Sockets::new(all);
+    let servers = Servers::new(config.figures.clone(), sockets.clone(), None);
+    let mut driver =
+        Driver::new(&config.settings, config.seed, Some(config.discovery), servers, peers.clone(), &tx, None);
+    driver.start(&config.known);
+    let retry_after = config.settings.retry_after;
+    let open_cap = config.figures.open_cap.min((config.memory / HELD_BYTES).max(1));
+    let clients = Clients::new(
+        Single::new(config.settings, config.names, open_cap, tx.clone()),
+        retry_after,
+        sockets,
+        (Budget::new((all as f64 * CLIENTS) as usize), Budget::new(OVERFLOW)),
+    );
+    if let Some(peers) = peers {
+        let tx = tx.clone();
+        spawn_local(async move {
+            loop {
+                let (from, data) = peers.next().await;
+                let _ = tx.send(Msg::Peer { from, data });
+            }
+        });
+    }
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match read(&path).and_then(|text| config::discovery_of(&text)) {
+                Ok(addr) => {
+                    crate::log::line(format_args!("configuration read again: discovery at {addr}"));
+                    let _ = tx.send(Msg::Discovery(addr));
+                }
+                Err(error) => crate::log::line(format_args!("configuration kept: {error}")),
+            }
+        }
+    });
+    let driver = spawn_local(driver.run(rx));
+    let acceptor = spawn_local(clients.clone().accept(listener, "".into()));
+    crate::log::line(format_args!("{} listens on {listen}", config.name));
+    let serve = async {
+        term.recv().await;
+        crate::log::line(format_args!("{} drains", config.name));
+        clients.drain().await;
+    };
+    // Without its driver or acceptor a node answers nobody; the platform starts a new one.
+    tokio::select! {
+        () = serve => Ok(()),
+        ended = driver => Err(format!("the driver ended: {ended:?}").into()),
+        ended = acceptor => Err(format!("the acceptor ended: {ended:?}").into()),
+    }
+}
+
+fn read(path: &str) -> Result<String, Box<dyn Error>> {
+    Ok(std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?)
+}
+
+/// Runs the node that `BALANCER_CONFIG` and its fellows describe, until SIGTERM.
+///
+/// # Errors
+/// Says what is missing or cannot be read, or which part of the node ended.
+pub fn start() -> Result<(), Box<dyn Error>> {
+    let env: std::collections::HashMap<String, String> = std::env::vars_os()
+        .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
+        .collect();
+    let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
+    let config = Config::read(&read(path)?, &env)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -13,14 +13,15 @@
 use tokio_util::time::{delay_queue, DelayQueue};
 use woodgap_decisions::{
     Action, Balancer, ClassId, Closed, Discovery, Event, Key, Micros, Outcome, Request, RequestId, ServerId,
-    SyncKind, TenantId, TimerId,
+    Settings, SyncKind, TenantId, TimerId,
 };
 
-use crate::discovery::{watch, List, News};
-use crate::exchange::Call;
+use crate::meter::{metered, Meter};
 use crate::peers::Peers;
-use crate::servers::{Ended, Servers, TIDY};
+use crate::sources::discovery::{watch, List, News};
 use crate::task::AbortOnDrop;
+use crate::upstream::exchange::Call;
+use crate::upstream::servers::{Ended, Servers, TIDY};
 
 /// The module answers at the deadline it was given; what it has not answered this much later, the
 /// node answers, whatever the module does.
@@ -81,6 +82,21 @@
     },
     /// Discovery is at this address from now on.
     Discovery(SocketAddr),
+    /// The servers, told by the catalogue.
+    Members(List),
+    /// What the servers are like now, for those who ask.
+    Look(oneshot::Sender<Vec<Look>>),
+}
+
+/// A server as its pool sees it.
+#[derive(Clone, Debug)]
+pub struct Look {
+    /// Its id in the list.
+    pub id: String,
+    /// Whether new work may go to it.
+    pub in_service: bool,
+    /// Connections that are kept open to it with nothing on them.
+    pub idle_connections: usize,
 }
 
 /// An attempt that is out.
@@ -118,7 +134,8 @@
     events: VecDeque<Event>,
     servers: Rc<Servers>,
     peers: Option<Rc<Peers>>,
-    discovery: SocketAddr,
+    /// `None` where the list comes as [`Msg::Members`].
+    discovery: Option<SocketAddr>,
     mode: Discovery,
     max_attempts: usize,
     revision: u64,
@@ -127,7 +144,9 @@
     watching: Option<AbortOnDrop>,
     /// Tries that a watch at a new address has left, until its first list.
     moved: u32,
-    tx: mpsc::UnboundedSender<Msg>,
+    /// Weak: the driver ends when nobody else can send to it.
+    tx: mpsc::WeakUnboundedSender<Msg>,
+    meter: Option<Rc<Meter>>,
 }
 
 /// The module's clock: Unix time at the start and monotonic from there, so that the times at
@@ -145,28 +164,32 @@
 
 impl Driver {
     pub fn new(
-        config: &crate::config::Config,
+        settings: &Settings,
+        seed: u64,
+        discovery: Option<SocketAddr>,
         servers: Rc<Servers>,
         peers: Option<Rc<Peers>>,
-        tx: mpsc::UnboundedSender<Msg>,
+        tx: &mpsc::UnboundedSender<Msg>,
+        meter: Option<Rc<Meter>>,
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         Driver {
-            balancer: Balancer::new(config.settings.clone(), config.seed),
+            balancer: Balancer::new(settings.clone(), seed),
             clock: Clock { start: Instant::now(), unix },
             held: HashMap::new(),
             due: DelayQueue::new(),
             events: VecDeque::new(),
             servers,
             peers,
-            discovery: config.discovery,
-            mode: config.settings.discovery,
-            max_attempts: config.settings.max_attempts as usize,
+            discovery,
+            mode: settings.discovery,
+            max_attempts: settings.max_attempts as usize,
             revision: 0,
             watch: 0,
             watching: None,
             moved: 0,
-            tx,
+            tx: tx.downgrade(),
+            meter,
         }
     }
 
@@ -241,11 +264,16 @@
             Msg::News { watch, news } if watch == self.watch => self.news(news),
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
-            Msg::Discovery(addr) if addr == self.discovery => {}
+            Msg::Members(list) => {
+                let (kind, members) = self.servers.apply(&list);
+                self.events.push_back(Event::Sync { kind, members });
+            }
+            Msg::Look(reply) => drop(reply.send(self.servers.look())),
+            Msg::Discovery(addr) if self.discovery == Some(addr) => {}
             Msg::Discovery(addr) => {
                 // The list stays until the new place has told its own, whole: its revisions may count
                 // other changes.
-                (self.discovery, self.revision, self.moved) = (addr, 0, MOVED_TRIES);
+                (self.discovery, self.revision, self.moved) = (Some(addr), 0, MOVED_TRIES);
                 self.subscribe();
             }
         }
@@ -341,11 +369,11 @@
             }
             Action::Fail { id } => self.answer(number(&id), Answer::Failed),
             Action::Probe(server) => {
-                let (servers, tx) = (self.servers.clone(), self.tx.clone());
+                let (servers, tx) = (self.servers.clone(), self.tx.upgrade());
                 spawn_local(async move {
                     let sent = Instant::now();
                     let ended = servers.probe(server).await;
-                    let _ = tx.send(Msg::Probed { server, ended, spent: sent.elapsed() });
+                    let _ = tx.map(|tx| tx.send(Msg::Probed { server, ended, spent: sent.elapsed() }));
                 });
             }
             Action::CloseIdle(server) => self.servers.close_idle(server),
@@ -381,12 +409,12 @@
             0 => held.deadline,
             limit => held.deadline.min(now + Duration::from_micros(limit)),
         };
-        let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.clone());
+        let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.upgrade());
         let attempt = attempt as u32;
-        let task = AbortOnDrop::spawn(async move {
+        let task = AbortOnDrop::spawn(metered(self.meter.clone(), async move {
             let ended = servers.attempt(server, &call, until).await;
-            let _ = tx.send(Msg::Closed { id, attempt, ended });
-        });
+            let _ = tx.map(|tx| tx.send(Msg::Closed { id, attempt, ended }));
+        }));
         held.attempts.push(Some(Out { server, sent: now, _task: task }));
     }
 
@@ -413,9 +441,9 @@
 
     /// Opens a watch in place of the one there may be.
     fn subscribe(&mut self) {
+        let (Some(addr), Some(tx)) = (self.discovery, self.tx.upgrade()) else { return };
         self.watch += 1;
-        let (number, tx) = (self.watch, self.tx.clone());
-        let (addr, revision) = (self.discovery, self.revision);
+        let (number, revision) = (self.watch, self.revision);
         self.watching = Some(AbortOnDrop::spawn(async move {
             watch(addr, revision, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
         }));
--- /dev/null
+++ b/crates/node/src/sources/mod.rs
@@ -0,0 +1,3 @@
+//! Where lists of servers come from.
+
+pub mod discovery;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -23,6 +23,7 @@
 use tokio::time::{timeout, Instant};
 use woodgap_decisions::Outcome;
 
+use crate::meter::{metered, Meter};
 use crate::task::{AbortOnDrop, Permit};
 
 /// The longest body of a request or an answer.
@@ -145,7 +146,12 @@
 }
 
 impl Link {
-    pub async fn dial(addr: SocketAddr, epoch: u64, permit: Permit) -> io::Result<Link> {
+    pub async fn dial(
+        addr: SocketAddr,
+        epoch: u64,
+        permit: Permit,
+        meter: Option<Rc<Meter>>,
+    ) -> io::Result<Link> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
         let wire = Rc::new(Wire { stream, left: Cell::new(0), heard: Cell::new(false) });
@@ -155,10 +161,10 @@
             .handshake(TokioIo::new(Socket(wire.clone())))
             .await
             .map_err(io::Error::other)?;
-        let connection = AbortOnDrop::spawn(async move {
+        let connection = AbortOnDrop::spawn(metered(meter, async move {
             let _permit = permit;
             let _ = connection.await;
-        });
+        }));
         Ok(Link { sender, wire, _connection: connection, epoch, idle_since: Instant::now() })
     }
 
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -15,9 +15,11 @@
 use woodgap_decisions::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 
 use crate::config::Figures;
-use crate::discovery::{server_number, List};
-use crate::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
-use crate::task::{Budget, Permit};
+use crate::meter::Meter;
+use crate::pool::driver::Look;
+use crate::sockets::Sockets;
+use crate::sources::discovery::{server_number, List};
+use crate::upstream::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
 
 /// Connections are reused for this part of the time that servers keep them: a request that meets
 /// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
@@ -54,7 +56,8 @@
 /// All servers on the list.
 pub struct Servers {
     figures: Figures,
-    budget: Rc<Budget>,
+    sockets: Rc<Sockets>,
+    meter: Option<Rc<Meter>>,
     entries: RefCell<HashMap<ServerId, Entry>>,
     names: RefCell<HashMap<u32, String>>,
     epochs: Cell<u64>,
@@ -62,15 +65,18 @@
 }
 
 impl Servers {
-    pub fn new(figures: Figures, budget: Rc<Budget>) -> Rc<Self> {
-        Rc::new(Servers {
+    pub fn new(figures: Figures, sockets: Rc<Sockets>, meter: Option<Rc<Meter>>) -> Rc<Self> {
+        let servers = Rc::new(Servers {
             figures,
-            budget,
+            sockets,
+            meter,
             entries: RefCell::default(),
             names: RefCell::default(),
             epochs: Cell::new(0),
             zones: RefCell::default(),
-        })
+        });
+        servers.sockets.join(&servers);
+        servers
     }
 
     // The list.
@@ -201,23 +207,27 @@
         }
     }
 
-    /// A place for one more socket, at the cost of an idle connection where all are taken.
-    pub async fn permit(&self) -> Option<Permit> {
-        loop {
-            if let Some(permit) = self.budget.take() {
-                return Some(permit);
-            }
-            if !self.evict() {
-                return None;
-            }
-            // The socket closes when its task is next run.
-            tokio::task::yield_now().await;
-        }
+    /// How many connections are open with nothing on them.
+    pub fn idle_count(&self) -> usize {
+        self.entries.borrow().values().map(|entry| entry.idle.len()).sum()
+    }
+
+    /// The servers as they are now, by their ids.
+    pub fn look(&self) -> Vec<Look> {
+        let (entries, names) = (self.entries.borrow(), self.names.borrow());
+        let look = |(server, entry): (&ServerId, &Entry)| Look {
+            id: names.get(&server.0).cloned().unwrap_or_default(),
+            in_service: entry.barred.is_none() && !entry.replaced,
+            idle_connections: entry.idle.len(),
+        };
+        let mut looks: Vec<Look> = entries.iter().map(look).collect();
+        looks.sort_by(|a, b| a.id.cmp(&b.id));
+        looks
     }
 
     async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<Link> {
-        let permit = self.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
-        Link::dial(addr, epoch, permit).await
+        let permit = self.sockets.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
+        Link::dial(addr, epoch, permit, self.meter.clone()).await
     }
 
     // Attempts.
@@ -297,7 +307,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::Entry as Listed;
+    use crate::sources::discovery::Entry as Listed;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::task::{spawn_local, LocalSet};
@@ -310,7 +320,7 @@
             open_cap: 10,
             report: vec!["queue".into(), "util".into()],
         };
-        Servers::new(figures, Budget::new(sockets))
+        Servers::new(figures, Sockets::new(sockets), None)
     }
 
     fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
@@ -414,7 +424,7 @@
             let addr = named("x").await;
             let server = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::Ok);
-            let permit = servers.permit().await;
+            let permit = servers.sockets.permit().await;
             assert!(permit.is_some());
             assert_eq!(servers.attempt(server, &call(), soon()).await.outcome, Outcome::ConnectFailed);
         };
