--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -81,6 +81,11 @@
 }
 
 impl Names {
+    /// The names of classes and tenants, in the order of the settings.
+    pub fn new(classes: Vec<String>, tenants: Vec<String>) -> Self {
+        Names { classes, tenants }
+    }
+
     /// The place of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|n| n == name)
--- /dev/null
+++ b/crates/node/src/admin/api.rs
@@ -0,0 +1,617 @@
+//! What administrators may ask: the paths under `/v1`, and their description (OpenAPI 3.1), which is made
+//! from the types.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{to_bytes, Body};
+use axum::extract::{Path, Query, Request, State};
+use axum::http::{header, HeaderMap, HeaderValue, StatusCode};
+use axum::middleware::{from_fn_with_state, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Extension, Json, Router};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use utoipa::openapi::security::{Http, HttpAuthScheme, SecurityScheme};
+use utoipa::{IntoParams, OpenApi, ToSchema};
+use woodgap_tenancy::catalogue::{Backend, Change, Etag, Revision, Tenant};
+use woodgap_tenancy::{BackendSpec, Condition, Edit, FieldFault, State as Life, TenantSpec, Uid};
+
+use super::auth::{Caller, Right, Tokens};
+use super::problem::Problem;
+use crate::control::Control;
+
+/// Bytes of a document, at most.
+pub const LONGEST_BODY: usize = 64 * 1024;
+/// Entries of a page, at most and where nothing is said.
+pub const MOST_ENTRIES: usize = 500;
+const ENTRIES: usize = 100;
+/// How long `changes` waits for one.
+pub const WAIT: Duration = Duration::from_secs(30);
+/// How long any other request may take.
+const SPENT: Duration = Duration::from_secs(15);
+
+#[derive(Clone)]
+struct Api {
+    control: Arc<Control>,
+    tokens: Arc<Tokens>,
+}
+
+type Answer = Result<Response, Problem>;
+
+/// A tenant.
+#[derive(Debug, Serialize, ToSchema)]
+struct TenantDocument {
+    /// Its name.
+    name: String,
+    /// Which tenant of that name: the revision that created it.
+    uid: Uid,
+    /// The revision that last wrote this document; its ETag is `"rREVISION"`.
+    revision: Revision,
+    /// Where it is in its life.
+    state: Life,
+    /// As it was written.
+    spec: TenantSpec,
+}
+
+/// A tenant in a list.
+#[derive(Debug, Serialize, ToSchema)]
+struct TenantLine {
+    /// Its name.
+    name: String,
+    /// Which tenant of that name.
+    uid: Uid,
+    /// The revision that last wrote its document.
+    revision: Revision,
+    /// Where it is in its life.
+    state: Life,
+    /// How many servers it has.
+    backends: usize,
+}
+
+/// Some of the tenants.
+#[derive(Debug, Serialize, ToSchema)]
+struct TenantPage {
+    /// In the order of their names.
+    tenants: Vec<TenantLine>,
+    /// Give this as `after` for the next page; absent on the last one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    next: Option<String>,
+    /// The catalogue's revision.
+    revision: Revision,
+}
+
+/// A server of a tenant.
+#[derive(Debug, Serialize, ToSchema)]
+struct BackendDocument {
+    /// Its id.
+    id: String,
+    /// The revision that last wrote this document.
+    revision: Revision,
+    /// Since when it has been at this address under this tenant, Unix time in milliseconds.
+    added_ms: u64,
+    /// As it was written.
+    spec: BackendSpec,
+}
+
+/// The servers of a tenant.
+#[derive(Debug, Serialize, ToSchema)]
+struct BackendPage {
+    /// In the order of their ids.
+    backends: Vec<BackendDocument>,
+}
+
+/// How a tenant stands on this node.
+#[derive(Debug, Serialize, ToSchema)]
+struct Status {
+    /// Its name.
+    name: String,
+    /// Which tenant of that name.
+    uid: Uid,
+    /// Where it is in its life.
+    state: Life,
+    /// Pools that run for it: none until its first request, and none again when it is idle.
+    pools: usize,
+    /// Requests held.
+    held: usize,
+    /// Client connections whose latest request was the tenant's.
+    connections: usize,
+    /// Requests answered by a server since the node's start.
+    served: u64,
+    /// Requests refused since the node's start.
+    refused: u64,
+    /// Requests failed since the node's start.
+    failed: u64,
+    /// Part of the core that its work takes, 0 to 1.
+    core: f64,
+    /// Its servers, where a pool runs.
+    servers: Vec<ServerStatus>,
+}
+
+/// How a server stands in a pool.
+#[derive(Debug, Serialize, ToSchema)]
+struct ServerStatus {
+    /// Its id.
+    id: String,
+    /// Whether new work may go to it.
+    in_service: bool,
+    /// Connections that are kept open to it with nothing on them.
+    idle_connections: usize,
+}
+
+/// Changes after a revision.
+#[derive(Debug, Serialize, ToSchema)]
+struct ChangePage {
+    /// Oldest first; empty where none came in time.
+    changes: Vec<Change>,
+    /// Give this as `after` the next time.
+    revision: Revision,
+}
+
+/// Which tenants to list.
+#[derive(Debug, Deserialize, IntoParams)]
+#[serde(deny_unknown_fields)]
+#[into_params(parameter_in = Query)]
+struct Paging {
+    /// Names after this one.
+    after: Option<String>,
+    /// Entries, 1 to 500; 100 where it is absent.
+    limit: Option<usize>,
+    /// `draining` lists those that were deleted and still hold requests.
+    state: Option<Life>,
+}
+
+/// Which changes to list.
+#[derive(Debug, Deserialize, IntoParams)]
+#[serde(deny_unknown_fields)]
+#[into_params(parameter_in = Query)]
+struct After {
+    /// The last revision that is known.
+    after: Revision,
+    /// Entries, 1 to 500; 100 where it is absent.
+    limit: Option<usize>,
+}
+
+#[derive(OpenApi)]
+#[openapi(
+    info(title = "woodgap administration", description = "Tenants and their servers, changed in service."),
+    paths(
+        list_tenants, get_tenant, put_tenant, delete_tenant, list_backends, get_backend, put_backend,
+        delete_backend, status, changes, openapi
+    ),
+    components(schemas(Problem, FieldFault, TenantSpec, BackendSpec)),
+    security(("token" = []))
+)]
+struct Description;
+
+/// The description of this API.
+pub(crate) fn description() -> utoipa::openapi::OpenApi {
+    let mut description = Description::openapi();
+    let token = SecurityScheme::Http(Http::new(HttpAuthScheme::Bearer));
+    description.components.get_or_insert_default().security_schemes.insert("token".to_owned(), token.into());
+    description
+}
+
+/// The paths, behind the token.
+pub(crate) fn router(control: Arc<Control>, tokens: Tokens) -> Router {
+    let api = Api { control, tokens: Arc::new(tokens) };
+    let tenant = get(get_tenant).put(put_tenant).delete(delete_tenant);
+    let backend = get(get_backend).put(put_backend).delete(delete_backend);
+    let method = || async {
+        Problem::new(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE as /v1/openapi.json says")
+    };
+    let nowhere =
+        || async { Problem::new(StatusCode::NOT_FOUND, "there is no such path; /v1/openapi.json has them") };
+    Router::new()
+        .route("/v1/tenants", get(list_tenants))
+        .route("/v1/tenants/{tenant}", tenant)
+        .route("/v1/tenants/{tenant}/status", get(status))
+        .route("/v1/tenants/{tenant}/backends", get(list_backends))
+        .route("/v1/tenants/{tenant}/backends/{backend}", backend)
+        .route("/v1/changes", get(changes))
+        .route("/v1/openapi.json", get(openapi))
+        .method_not_allowed_fallback(method)
+        .fallback(nowhere)
+        .layer(from_fn_with_state(api.clone(), guard))
+        .with_state(api)
+}
+
+/// Lets in who has a token, for a bounded time.
+async fn guard(State(api): State<Api>, mut request: Request, next: Next) -> Response {
+    let bearer = |value: &HeaderValue| {
+        let (scheme, secret) = value.to_str().ok()?.split_once(' ')?;
+        scheme.eq_ignore_ascii_case("bearer").then(|| secret.trim().to_owned())
+    };
+    let secret = request.headers().get(header::AUTHORIZATION).and_then(bearer);
+    let Some(caller) = secret.and_then(|secret| api.tokens.caller(&secret)) else {
+        let problem =
+            Problem::new(StatusCode::UNAUTHORIZED, "send Authorization: Bearer with a token of this node");
+        let mut response = problem.into_response();
+        // Its body is not read.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        return response;
+    };
+    request.extensions_mut().insert(caller);
+    let most = if request.uri().path() == "/v1/changes" { WAIT + SPENT } else { SPENT };
+    match tokio::time::timeout(most, next.run(request)).await {
+        Ok(response) => response,
+        Err(_) => Problem::new(StatusCode::REQUEST_TIMEOUT, "send the whole request at once").into_response(),
+    }
+}
+
+impl Caller {
+    /// An operator may do everything.
+    fn operates(&self) -> Result<(), Problem> {
+        match self.right {
+            Right::Operator => Ok(()),
+            Right::Tenant(_) => {
+                Err(Problem::new(StatusCode::FORBIDDEN, "this needs the token of an operator"))
+            }
+        }
+    }
+
+    /// A tenant may look after its own.
+    fn minds(&self, tenant: &str) -> Result<(), Problem> {
+        match &self.right {
+            Right::Tenant(own) if own != tenant => {
+                Err(Problem::new(StatusCode::FORBIDDEN, "this token is for another tenant"))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// What a write says that it has seen.
+fn condition(headers: &HeaderMap) -> Result<Condition, Problem> {
+    let bad = |why| Err(Problem::new(StatusCode::BAD_REQUEST, why));
+    let one = |name: header::HeaderName| {
+        let mut values = headers.get_all(name).iter();
+        (values.next(), values.next().is_some())
+    };
+    match (one(header::IF_MATCH), one(header::IF_NONE_MATCH)) {
+        ((_, true), _) | (_, (_, true)) => bad("a condition stands twice"),
+        ((Some(_), _), (Some(_), _)) => bad("send If-Match or If-None-Match, not both"),
+        ((None, _), (None, _)) => Ok(Condition::None),
+        (_, (Some(none), _)) if none.as_bytes() == b"*" => Ok(Condition::Absent),
+        (_, (Some(_), _)) => bad("only If-None-Match: * is understood, to create"),
+        ((Some(tag), _), _) => match tag.to_str().unwrap_or("").trim() {
+            // It would match anything that is there: nothing was seen.
+            "*" => Ok(Condition::None),
+            tag if tag.contains(',') => bad("give one ETag"),
+            // A tag of another form, or a weak one, matches nothing that there ever was.
+            tag => Ok(Condition::Seen(tag.parse().unwrap_or(Etag(0)))),
+        },
+    }
+}
+
+/// Reads a document: JSON of a bounded size, with the field named that is at fault.
+async fn document<T: DeserializeOwned>(headers: &HeaderMap, body: Body) -> Result<T, Problem> {
+    let kind = headers.get(header::CONTENT_TYPE).and_then(|kind| kind.to_str().ok()).unwrap_or("");
+    if kind.split(';').next().map(str::trim) != Some("application/json") {
+        let detail = "send Content-Type: application/json";
+        return Err(Problem::new(StatusCode::UNSUPPORTED_MEDIA_TYPE, detail));
+    }
+    let too_long = || {
+        Problem::new(StatusCode::PAYLOAD_TOO_LARGE, format!("a document has {LONGEST_BODY} bytes at most"))
+    };
+    let length =
+        headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    if length.is_some_and(|length| length > LONGEST_BODY) {
+        return Err(too_long());
+    }
+    let bytes = to_bytes(body, LONGEST_BODY).await.map_err(|_| too_long())?;
+    let mut reader = serde_json::Deserializer::from_slice(&bytes);
+    let read = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let field = error.path().to_string().replace('.', "/");
+        Problem::field(StatusCode::BAD_REQUEST, field, error.inner().to_string())
+    })?;
+    reader.end().map_err(|error| Problem::field(StatusCode::BAD_REQUEST, ".", error.to_string()))?;
+    Ok(read)
+}
+
+fn tagged(status: StatusCode, revision: Revision, document: impl Serialize) -> Response {
+    let mut response = (status, Json(document)).into_response();
+    if let Ok(etag) = HeaderValue::from_str(&Etag(revision).to_string()) {
+        response.headers_mut().insert(header::ETAG, etag);
+    }
+    response
+}
+
+fn no_tenant(name: &str) -> Problem {
+    Problem::new(StatusCode::NOT_FOUND, format!("there is no tenant {name}"))
+}
+
+fn tenant_document(tenant: &Tenant) -> TenantDocument {
+    let Tenant { uid, revision, state, .. } = *tenant;
+    TenantDocument { name: tenant.name.clone(), uid, revision, state, spec: (*tenant.spec).clone() }
+}
+
+fn backend_document((id, backend): (&String, &Backend)) -> BackendDocument {
+    let Backend { spec, revision, added_ms } = backend.clone();
+    BackendDocument { id: id.clone(), revision, added_ms, spec }
+}
+
+fn entries(limit: Option<usize>) -> Result<usize, Problem> {
+    let limit = limit.unwrap_or(ENTRIES);
+    if (1..=MOST_ENTRIES).contains(&limit) {
+        return Ok(limit);
+    }
+    Err(Problem::field(StatusCode::BAD_REQUEST, "limit", format!("give 1 to {MOST_ENTRIES}")))
+}
+
+type Asked<T> = Result<Query<T>, axum::extract::rejection::QueryRejection>;
+
+fn asked<T>(query: Asked<T>) -> Result<T, Problem> {
+    query.map(|Query(query)| query).map_err(|error| Problem::new(StatusCode::BAD_REQUEST, error.body_text()))
+}
+
+#[utoipa::path(get, path = "/v1/tenants", params(Paging),
+    responses((status = 200, body = TenantPage), (status = "default", body = Problem)))]
+async fn list_tenants(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    query: Asked<Paging>,
+) -> Answer {
+    caller.operates()?;
+    let Paging { after, limit, state } = asked(query)?;
+    let limit = entries(limit)?;
+    let line = |tenant: &Tenant| TenantLine {
+        name: tenant.name.clone(),
+        uid: tenant.uid,
+        revision: tenant.revision,
+        state: tenant.state,
+        backends: tenant.backends.len(),
+    };
+    let page = api.control.read(|catalogue| {
+        let revision = catalogue.revision();
+        if state == Some(Life::Draining) {
+            let draining = catalogue.tenants().filter(|tenant| tenant.state == Life::Draining);
+            return TenantPage { tenants: draining.take(limit).map(line).collect(), next: None, revision };
+        }
+        let mut tenants: Vec<TenantLine> = catalogue.page(after.as_deref(), limit + 1).map(line).collect();
+        let more = tenants.len() > limit;
+        tenants.truncate(limit);
+        let next = tenants.last().filter(|_| more).map(|tenant| tenant.name.clone());
+        TenantPage { tenants, next, revision }
+    });
+    Ok(Json(page).into_response())
+}
+
+#[utoipa::path(get, path = "/v1/tenants/{tenant}", params(("tenant" = String, Path)),
+    responses((status = 200, body = TenantDocument), (status = "default", body = Problem)))]
+async fn get_tenant(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(name): Path<String>,
+) -> Answer {
+    caller.minds(&name)?;
+    let found = api.control.read(|catalogue| catalogue.active(&name).map(tenant_document));
+    let document = found.ok_or_else(|| no_tenant(&name))?;
+    Ok(tagged(StatusCode::OK, document.revision, document))
+}
+
+/// Creates a tenant (`If-None-Match: *`) or replaces its document (`If-Match`).
+#[utoipa::path(put, path = "/v1/tenants/{tenant}", params(("tenant" = String, Path)),
+    request_body = TenantSpec,
+    responses((status = 200, body = TenantDocument), (status = 201, body = TenantDocument),
+        (status = "default", body = Problem)))]
+async fn put_tenant(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(tenant): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    caller.operates()?;
+    let seen = condition(&headers)?;
+    let spec: TenantSpec = document(&headers, body).await?;
+    let edit = Edit::PutTenant { tenant: tenant.clone(), spec: spec.clone() };
+    let Change { uid, revision, .. } = api.control.change(edit, seen, caller.name).await?;
+    let status = if seen == Condition::Absent { StatusCode::CREATED } else { StatusCode::OK };
+    // As it was written: another may have written it again by now.
+    Ok(tagged(status, revision, TenantDocument { name: tenant, uid, revision, state: Life::Active, spec }))
+}
+
+/// Deletes a tenant: it drains, and its name is free.
+#[utoipa::path(delete, path = "/v1/tenants/{tenant}", params(("tenant" = String, Path)),
+    responses((status = 202, body = Change), (status = "default", body = Problem)))]
+async fn delete_tenant(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(tenant): Path<String>,
+    headers: HeaderMap,
+) -> Answer {
+    caller.operates()?;
+    let seen = condition(&headers)?;
+    let change = api.control.change(Edit::DeleteTenant { tenant }, seen, caller.name).await?;
+    Ok((StatusCode::ACCEPTED, Json(change)).into_response())
+}
+
+#[utoipa::path(get, path = "/v1/tenants/{tenant}/backends", params(("tenant" = String, Path)),
+    responses((status = 200, body = BackendPage), (status = "default", body = Problem)))]
+async fn list_backends(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(name): Path<String>,
+) -> Answer {
+    caller.minds(&name)?;
+    let found = api.control.read(|catalogue| {
+        let tenant = catalogue.active(&name)?;
+        Some(tenant.backends.iter().map(backend_document).collect())
+    });
+    let backends = found.ok_or_else(|| no_tenant(&name))?;
+    Ok(Json(BackendPage { backends }).into_response())
+}
+
+#[utoipa::path(get, path = "/v1/tenants/{tenant}/backends/{backend}",
+    params(("tenant" = String, Path), ("backend" = String, Path)),
+    responses((status = 200, body = BackendDocument), (status = "default", body = Problem)))]
+async fn get_backend(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path((name, id)): Path<(String, String)>,
+) -> Answer {
+    caller.minds(&name)?;
+    let found =
+        api.control.read(|catalogue| {
+            let tenant = catalogue.active(&name).ok_or_else(|| no_tenant(&name))?;
+            tenant.backends.get_key_value(&id).map(backend_document).ok_or_else(|| {
+                Problem::new(StatusCode::NOT_FOUND, format!("tenant {name} has no server {id}"))
+            })
+        });
+    let document = found?;
+    Ok(tagged(StatusCode::OK, document.revision, document))
+}
+
+/// Adds a server (`If-None-Match: *`) or replaces its document (`If-Match`).
+#[utoipa::path(put, path = "/v1/tenants/{tenant}/backends/{backend}",
+    params(("tenant" = String, Path), ("backend" = String, Path)), request_body = BackendSpec,
+    responses((status = 200, body = BackendDocument), (status = 201, body = BackendDocument),
+        (status = "default", body = Problem)))]
+async fn put_backend(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path((tenant, backend)): Path<(String, String)>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    caller.minds(&tenant)?;
+    let seen = condition(&headers)?;
+    let spec: BackendSpec = document(&headers, body).await?;
+    let edit = Edit::PutBackend { tenant: tenant.clone(), backend: backend.clone(), spec: spec.clone() };
+    let Change { uid, revision, at_ms, .. } = api.control.change(edit, seen, caller.name).await?;
+    let status = if seen == Condition::Absent { StatusCode::CREATED } else { StatusCode::OK };
+    let present = api.control.read(|catalogue| {
+        let backend = catalogue.tenant(uid)?.backends.get(&backend)?;
+        (backend.revision == revision).then_some(backend.added_ms)
+    });
+    let added_ms = present.unwrap_or(at_ms);
+    Ok(tagged(status, revision, BackendDocument { id: backend, revision, added_ms, spec }))
+}
+
+/// Takes a server away: nothing new reaches it, what it has may end.
+#[utoipa::path(delete, path = "/v1/tenants/{tenant}/backends/{backend}",
+    params(("tenant" = String, Path), ("backend" = String, Path)),
+    responses((status = 200, body = Change), (status = "default", body = Problem)))]
+async fn delete_backend(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path((tenant, backend)): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Answer {
+    caller.minds(&tenant)?;
+    let seen = condition(&headers)?;
+    let change = api.control.change(Edit::DeleteBackend { tenant, backend }, seen, caller.name).await?;
+    Ok(Json(change).into_response())
+}
+
+#[utoipa::path(get, path = "/v1/tenants/{tenant}/status", params(("tenant" = String, Path)),
+    responses((status = 200, body = Status), (status = "default", body = Problem)))]
+async fn status(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(name): Path<String>,
+) -> Answer {
+    caller.minds(&name)?;
+    let found =
+        api.control.read(|catalogue| catalogue.active(&name).map(|tenant| (tenant.uid, tenant.state)));
+    let (uid, state) = found.ok_or_else(|| no_tenant(&name))?;
+    let standing = api.control.standing(uid).await.unwrap_or_default();
+    let server = |look: crate::pool::driver::Look| ServerStatus {
+        id: look.id,
+        in_service: look.in_service,
+        idle_connections: look.idle_connections,
+    };
+    let [served, refused, failed] = standing.answers;
+    let status = Status {
+        name,
+        uid,
+        state,
+        pools: standing.pools,
+        held: standing.held,
+        connections: standing.connections,
+        served,
+        refused,
+        failed,
+        core: standing.core,
+        servers: standing.servers.into_iter().map(server).collect(),
+    };
+    Ok(Json(status).into_response())
+}
+
+/// The changes after a revision; where there is none yet, waits for one, 30 s at most.
+#[utoipa::path(get, path = "/v1/changes", params(After),
+    responses((status = 200, body = ChangePage), (status = "default", body = Problem)))]
+async fn changes(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    query: Asked<After>,
+) -> Answer {
+    caller.operates()?;
+    let After { after, limit } = asked(query)?;
+    let limit = entries(limit)?;
+    let mut revisions = api.control.revisions();
+    let newer = tokio::time::timeout(WAIT, revisions.wait_for(|&revision| revision > after)).await;
+    drop(newer);
+    let page = api.control.read(|catalogue| {
+        let changes: Option<Vec<Change>> =
+            catalogue.changes_after(after).map(|c| c.take(limit).cloned().collect());
+        let changes = changes.ok_or_else(|| {
+            let detail = format!(
+                "the history no longer reaches back to {after}: read all tenants, then go on from {}",
+                catalogue.revision()
+            );
+            Problem::new(StatusCode::GONE, detail)
+        })?;
+        let revision = changes.last().map_or(after, |change| change.revision);
+        Ok::<_, Problem>(ChangePage { changes, revision })
+    })?;
+    Ok(Json(page).into_response())
+}
+
+/// This description.
+#[utoipa::path(get, path = "/v1/openapi.json", responses((status = 200, description = "OpenAPI 3.1")))]
+async fn openapi() -> Response {
+    Json(description()).into_response()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(pairs: &[(header::HeaderName, &str)]) -> Result<Condition, Problem> {
+        let mut headers = HeaderMap::new();
+        for (name, value) in pairs {
+            headers.append(name, HeaderValue::from_str(value).unwrap());
+        }
+        condition(&headers)
+    }
+
+    #[test]
+    fn a_condition_says_what_was_seen_or_nothing() {
+        let (seen, none) = (header::IF_MATCH, header::IF_NONE_MATCH);
+        assert_eq!(read(&[]).unwrap(), Condition::None);
+        assert_eq!(read(&[(seen.clone(), "\"r7\"")]).unwrap(), Condition::Seen(Etag(7)));
+        assert_eq!(read(&[(none.clone(), "*")]).unwrap(), Condition::Absent);
+        // Whatever is there is not what was seen, and a weak tag never matches.
+        assert_eq!(read(&[(seen.clone(), "*")]).unwrap(), Condition::None);
+        assert_eq!(read(&[(seen.clone(), "W/\"r7\"")]).unwrap(), Condition::Seen(Etag(0)));
+        assert!(read(&[(seen.clone(), "\"r7\", \"r8\"")]).is_err());
+        assert!(read(&[(none.clone(), "\"r7\"")]).is_err());
+        assert!(read(&[(seen.clone(), "\"r7\""), (seen.clone(), "\"r8\"")]).is_err());
+        assert!(read(&[(seen, "\"r7\""), (none, "*")]).is_err());
+    }
+
+    #[test]
+    fn the_description_is_openapi_3_1_and_names_every_path() {
+        let text = serde_json::to_value(description()).unwrap();
+        assert!(text["openapi"].as_str().unwrap().starts_with("3.1"), "{}", text["openapi"]);
+        let paths = text["paths"].as_object().unwrap();
+        assert_eq!(paths.len(), 7);
+        assert!(paths["/v1/tenants/{tenant}"].get("put").is_some());
+        let fields = &text["components"]["schemas"]["TenantSpec"]["properties"];
+        assert!(fields.get("quota_per_s").is_some() && fields.get("match").is_some(), "{fields}");
+        assert_eq!(text["components"]["securitySchemes"]["token"]["scheme"], "bearer");
+    }
+}
--- /dev/null
+++ b/crates/node/src/admin/problem.rs
@@ -0,0 +1,112 @@
+//! Errors of the administration API: `application/problem+json` (RFC 9457).
+
+use axum::http::{header, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use serde::Serialize;
+use utoipa::ToSchema;
+use woodgap_tenancy::catalogue::Refusal;
+use woodgap_tenancy::{Etag, FieldFault};
+
+use crate::control::Failure;
+use crate::store::StoreError;
+
+/// What is wrong and what to do.
+#[derive(Debug, Serialize, ToSchema)]
+pub struct Problem {
+    /// Which kind of problem, as a URN.
+    #[serde(rename = "type")]
+    kind: &'static str,
+    /// The kind, for people.
+    title: &'static str,
+    /// The status of the answer.
+    status: u16,
+    /// What it is this time, and what to do.
+    detail: String,
+    /// The fields that are at fault.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    errors: Vec<FieldFault>,
+    /// The document's present tag, where another has written it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    etag: Option<String>,
+}
+
+impl Problem {
+    /// A problem of this status.
+    pub fn new(status: StatusCode, detail: impl Into<String>) -> Self {
+        let (kind, title) = match status.as_u16() {
+            400 => ("urn:woodgap:problem:unreadable", "The request cannot be read"),
+            401 => ("urn:woodgap:problem:unauthorized", "No known token"),
+            403 => ("urn:woodgap:problem:forbidden", "The token has not the right"),
+            404 => ("urn:woodgap:problem:not-found", "There is no such thing"),
+            405 => ("urn:woodgap:problem:method", "The method does not fit the path"),
+            408 => ("urn:woodgap:problem:slow", "The request took too long to come"),
+            410 => ("urn:woodgap:problem:history", "The history does not reach back"),
+            412 => ("urn:woodgap:problem:changed", "The document has changed"),
+            413 => ("urn:woodgap:problem:too-long", "The body is too long"),
+            415 => ("urn:woodgap:problem:media-type", "The body is no JSON"),
+            422 => ("urn:woodgap:problem:invalid", "The document has faults"),
+            428 => ("urn:woodgap:problem:condition", "The write has no condition"),
+            503 => ("urn:woodgap:problem:unavailable", "Changes cannot be made now"),
+            507 => ("urn:woodgap:problem:full", "A bound is reached"),
+            _ => ("about:blank", "Something went wrong"),
+        };
+        let detail = detail.into();
+        Problem { kind, title, status: status.as_u16(), detail, errors: Vec::new(), etag: None }
+    }
+
+    /// A fault in one field of a document.
+    pub fn field(status: StatusCode, field: impl Into<String>, problem: impl Into<String>) -> Self {
+        let fault = FieldFault::new(field, problem);
+        let detail = format!("{}: {}", fault.field, fault.problem);
+        Problem { errors: vec![fault], ..Problem::new(status, detail) }
+    }
+}
+
+impl From<Failure> for Problem {
+    fn from(failure: Failure) -> Self {
+        let detail = failure.to_string();
+        match failure {
+            Failure::Refused(Refusal::NotFound(_)) => Problem::new(StatusCode::NOT_FOUND, detail),
+            Failure::Refused(Refusal::NoCondition) => Problem::new(StatusCode::PRECONDITION_REQUIRED, detail),
+            Failure::Refused(Refusal::Full(_)) => Problem::new(StatusCode::INSUFFICIENT_STORAGE, detail),
+            Failure::Refused(Refusal::Changed(etag)) => Problem {
+                etag: etag.as_ref().map(Etag::to_string),
+                ..Problem::new(StatusCode::PRECONDITION_FAILED, detail)
+            },
+            Failure::Refused(Refusal::Invalid(errors)) => {
+                let first = errors.first().map_or(detail, |fault| format!("{}: {}", fault.field, fault.problem));
+                Problem { errors, ..Problem::new(StatusCode::UNPROCESSABLE_ENTITY, first) }
+            }
+            Failure::Store(StoreError::Conflict { .. }) => {
+                let detail = "the catalogue was changed elsewhere meanwhile: read again, then decide";
+                Problem::new(StatusCode::PRECONDITION_FAILED, detail)
+            }
+            Failure::Store(StoreError::Unwritable(why)) => Problem::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("the store cannot be written ({why}); traffic goes on; read the document before you try again"),
+            ),
+            Failure::Store(_) | Failure::Crowded | Failure::Ending => {
+                Problem::new(StatusCode::SERVICE_UNAVAILABLE, detail)
+            }
+        }
+    }
+}
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let body = serde_json::to_vec(&self).unwrap_or_default();
+        let mut response = (status, body).into_response();
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        if let Some(etag) = self.etag.and_then(|etag| HeaderValue::from_str(&etag).ok()) {
+            headers.insert(header::ETAG, etag);
+        }
+        match self.status {
+            401 => drop(headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"))),
+            503 => drop(headers.insert(header::RETRY_AFTER, HeaderValue::from_static("1"))),
+            _ => {}
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/node/src/cli.rs
@@ -0,0 +1,99 @@
+//! The command line.
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+
+use crate::hosted::config::HostedConfig;
+use crate::hosted::{self, Addresses};
+use crate::store::embedded::Embedded;
+use crate::{admin, platform};
+
+/// An HTTP load balancer. Without a command it is the platform's node, told by BALANCER_CONFIG.
+#[derive(Parser)]
+#[command(name = "woodgap", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves many tenants, changed through the administration API.
+    Serve {
+        /// The configuration: see deploy/hosted.toml.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Reads a configuration and what it names, and tells every fault with its line.
+    Check {
+        /// The configuration.
+        #[arg(long)]
+        config: PathBuf,
+    },
+}
+
+fn read(path: &Path) -> Result<HostedConfig, Box<dyn Error>> {
+    let at = path.display();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{at}: {error}"))?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    HostedConfig::read(&text, folder).map_err(|faults| {
+        let lines: Vec<String> = faults.iter().map(|fault| format!("{at}: {fault}")).collect();
+        lines.join("\n").into()
+    })
+}
+
+fn serve(path: &Path) -> Result<(), Box<dyn Error>> {
+    let config = read(path)?;
+    hosted::runtime()?.block_on(LocalSet::new().run_until(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let name = config.name.clone();
+        let stop = async {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            crate::log::line(format_args!("{name} drains"));
+        };
+        let ready = |addresses: Addresses| {
+            if let Some(admin) = addresses.admin {
+                crate::log::line(format_args!("{name} is administered on {admin}"));
+            }
+            for (listener, address) in &addresses.listeners {
+                crate::log::line(format_args!("{name} ({listener}) listens on {address}"));
+            }
+        };
+        let store = Box::new(Embedded::file(&config.store));
+        hosted::serve(config.clone(), store, stop, ready).await
+    }))
+}
+
+fn check(path: &Path) -> Result<(), Box<dyn Error>> {
+    let config = read(path)?;
+    if let Some(admin) = &config.admin {
+        admin::auth::Tokens::read(&admin.token_file)?;
+    }
+    println!("{}: no faults", path.display());
+    Ok(())
+}
+
+/// Runs the program.
+pub fn run() -> ExitCode {
+    let done = match Line::parse().command {
+        None => platform::start(),
+        Some(Command::Serve { config }) => serve(&config),
+        Some(Command::Check { config }) => check(&config),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("woodgap: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,238 @@
+//! The control thread: it owns the catalogue and the store, and serves the administration API.
+//!
+//! One change at a time: prepared on the catalogue, made durable, applied, carried out by the data thread,
+//! answered. A change runs to its end whatever becomes of the connection that asked for it.
+
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::{mpsc, oneshot, watch, Mutex, Semaphore};
+use woodgap_tenancy::catalogue::{Change, Millis, Refusal, Revision, Tenant};
+use woodgap_tenancy::{Catalogue, Condition, Edit, State, Uid};
+
+use crate::admin;
+use crate::hosted::config::AdminConfig;
+use crate::hosted::directory::{Standing, View};
+use crate::hosted::Command;
+use crate::store::{Store, StoreError};
+
+/// Changes that may wait for their turn.
+pub const MOST_WAITING: usize = 64;
+/// A change that a tenant has gone is tried again after this time, where the store was not writable.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// Why a change was not made.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Failure {
+    /// The catalogue does not take it.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+    /// The store does not.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// Too many changes wait.
+    #[error("{MOST_WAITING} changes wait already; try again")]
+    Crowded,
+    /// The node ends.
+    #[error("the node ends")]
+    Ending,
+}
+
+/// The catalogue and who changes it.
+pub(crate) struct Control {
+    catalogue: RwLock<Catalogue>,
+    store: Mutex<Option<Box<dyn Store>>>,
+    plane: mpsc::UnboundedSender<Command>,
+    revision: watch::Sender<Revision>,
+    waiting: Semaphore,
+}
+
+/// The time of day, Unix time in milliseconds.
+pub(crate) fn now_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as Millis
+}
+
+fn view(catalogue: &Catalogue, tenant: &Tenant) -> View {
+    View {
+        uid: tenant.uid,
+        name: tenant.name.clone(),
+        state: tenant.state,
+        spec: tenant.spec.clone(),
+        members: catalogue.members(tenant.uid),
+    }
+}
+
+/// All tenants as the data thread is to see them.
+pub(crate) fn views(catalogue: &Catalogue) -> impl Iterator<Item = View> + '_ {
+    catalogue.tenants().map(|tenant| view(catalogue, tenant))
+}
+
+impl Control {
+    pub fn new(
+        catalogue: Catalogue,
+        store: Box<dyn Store>,
+        plane: mpsc::UnboundedSender<Command>,
+    ) -> Arc<Self> {
+        let (revision, _) = watch::channel(catalogue.revision());
+        let (catalogue, store) = (RwLock::new(catalogue), Mutex::new(Some(store)));
+        Arc::new(Control { catalogue, store, plane, revision, waiting: Semaphore::new(MOST_WAITING) })
+    }
+
+    /// Looks at the catalogue.
+    pub fn read<T>(&self, look: impl FnOnce(&Catalogue) -> T) -> T {
+        // A panic while it was written is the only way to poison it; what it holds is whole all the same.
+        look(&self.catalogue.read().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    fn write<T>(&self, change: impl FnOnce(&mut Catalogue) -> T) -> T {
+        change(&mut self.catalogue.write().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// Hears of each new revision.
+    pub fn revisions(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// Makes a change; returns once it is durable and carried out.
+    pub async fn change(
+        self: &Arc<Self>,
+        edit: Edit,
+        seen: Condition,
+        by: String,
+    ) -> Result<Change, Failure> {
+        let control = self.clone();
+        // Who asked may go away in the middle: what is durable must be carried out all the same.
+        let made = tokio::spawn(async move {
+            let _waits = control.waiting.try_acquire().map_err(|_| Failure::Crowded)?;
+            control.make(edit, seen, &by).await
+        });
+        made.await.unwrap_or(Err(Failure::Ending))
+    }
+
+    async fn make(&self, edit: Edit, seen: Condition, by: &str) -> Result<Change, Failure> {
+        let mut place = self.store.lock().await;
+        let commit = self.read(|catalogue| catalogue.prepare(edit, seen, by, now_ms()))?;
+        let mut store = place.take().ok_or(Failure::Ending)?;
+        let kept = commit.clone();
+        let worked = tokio::task::spawn_blocking(move || {
+            let done = store.commit(&kept);
+            // Elsewhere than we thought: another wrote, or a commit lasted that seemed to have failed.
+            let fresh = match &done {
+                Err(StoreError::Conflict { .. }) => store.load().ok(),
+                _ => None,
+            };
+            (store, done, fresh)
+        });
+        let (store, done, fresh) = worked.await.map_err(|_| Failure::Ending)?;
+        *place = Some(store);
+        if let Some(fresh) = fresh {
+            self.replace(fresh).await;
+        }
+        done?;
+        let change = commit.change.clone();
+        let touched = self
+            .write(|catalogue| catalogue.apply(commit))
+            .map_err(|present| StoreError::Conflict { present, base: change.revision - 1 })?;
+        self.tell(touched).await;
+        Ok(change)
+    }
+
+    /// Takes over a catalogue that a store has in place of ours.
+    async fn replace(&self, fresh: Catalogue) {
+        let uids = |catalogue: &Catalogue| catalogue.tenants().map(|t| t.uid).collect::<BTreeSet<Uid>>();
+        let gone: Vec<View> = self.read(|old| {
+            let left = uids(&fresh);
+            let gone = old.tenants().filter(|tenant| !left.contains(&tenant.uid));
+            gone.map(|tenant| View { state: State::Draining, members: Vec::new(), ..view(old, tenant) })
+                .collect()
+        });
+        let touched = uids(&fresh);
+        self.write(|catalogue| *catalogue = fresh);
+        self.update(gone).await;
+        self.tell(touched).await;
+    }
+
+    /// Has the data thread carry out what changed, and those hear of it who wait for changes.
+    async fn tell(&self, touched: BTreeSet<Uid>) {
+        let (views, revision) = self.read(|catalogue| {
+            let tenants = touched.iter().filter_map(|&uid| catalogue.tenant(uid));
+            (tenants.map(|tenant| view(catalogue, tenant)).collect(), catalogue.revision())
+        });
+        self.update(views).await;
+        self.revision.send_replace(revision);
+    }
+
+    async fn update(&self, views: Vec<View>) {
+        let (done, carried_out) = oneshot::channel();
+        let _ = self.plane.send(Command::Update(views, done));
+        let _ = carried_out.await;
+    }
+
+    /// How a tenant stands on the data path.
+    pub async fn standing(&self, uid: Uid) -> Option<Standing> {
+        let (reply, standing) = oneshot::channel();
+        let _ = self.plane.send(Command::Standing(uid, reply));
+        standing.await.ok().flatten()
+    }
+
+    /// Enters in the catalogue which tenants have drained.
+    async fn finish(self: Arc<Self>, mut gone: mpsc::UnboundedReceiver<Uid>) {
+        while let Some(uid) = gone.recv().await {
+            while let Err(Failure::Store(error)) =
+                self.make(Edit::Finish { uid }, Condition::None, "node").await
+            {
+                crate::log::line(format_args!("tenant {}: {error}", uid.0));
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+/// The control thread, as long as this is held.
+pub(crate) struct Thread {
+    _stop: oneshot::Sender<()>,
+    ended: oneshot::Receiver<String>,
+}
+
+impl Thread {
+    /// Waits for its end, which is not to be expected, and tells why.
+    pub async fn ended(&mut self) -> String {
+        (&mut self.ended).await.unwrap_or_else(|_| "it panicked".to_owned())
+    }
+}
+
+/// Starts the control thread. It has its own runtime, so that a busy administrator takes no turn of the
+/// data path's.
+pub(crate) fn start(
+    control: Arc<Control>,
+    gone: mpsc::UnboundedReceiver<Uid>,
+    admin: Option<(TcpListener, admin::auth::Tokens)>,
+    config: Option<AdminConfig>,
+) -> std::io::Result<Thread> {
+    let (stop, stopped) = oneshot::channel::<()>();
+    let (end, ended) = oneshot::channel();
+    let runtime = crate::hosted::runtime()?;
+    std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            let finish = tokio::spawn(control.clone().finish(gone));
+            let serve = async move {
+                match (admin, config) {
+                    (Some((listener, tokens)), Some(config)) => {
+                        admin::serve(control, listener, tokens, config.connections).await
+                    }
+                    _ => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                _ = stopped => {}
+                _ = finish => drop(end.send("nothing tells it of drained tenants any more".to_owned())),
+                error = serve => drop(end.send(error.to_string())),
+            }
+        });
+        // Blocking work, a commit in its sync, is let finish.
+        runtime.shutdown_timeout(Duration::from_secs(5));
+    })?;
+    Ok(Thread { _stop: stop, ended })
+}
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -98,11 +98,6 @@
         clients
     }
 
-    /// Open connections.
-    pub fn connections(&self) -> usize {
-        self.conns.borrow().len()
-    }
-
     /// Ends the connections of a tenant that is no more: idle ones at once, others with their answer.
     pub fn close_of(&self, uid: Uid) {
         let conns = self.conns.borrow();
--- /dev/null
+++ b/crates/node/src/hosted/config.rs
@@ -0,0 +1,364 @@
+//! The hosted node's configuration: a TOML file, read with every fault and its line.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use toml::de::{DeTable, DeValue};
+use toml::Spanned;
+
+/// Listeners, at most.
+pub const MOST_LISTENERS: usize = 64;
+
+/// A listener for clients.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// What tenants may be named by.
+    pub name: String,
+    /// Where it listens; port 0 takes any.
+    pub address: SocketAddr,
+}
+
+/// The administration API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdminConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The file with its tokens.
+    pub token_file: PathBuf,
+    /// Connections at a time.
+    pub connections: usize,
+}
+
+/// All that a hosted node is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostedConfig {
+    /// Its name, for the log.
+    pub name: String,
+    /// Nodes that share the tenants' traffic: quotas and care for cold servers are divided by it.
+    pub nodes: u32,
+    /// For random choices.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// Bytes of memory that it may use.
+    pub memory: usize,
+    /// Requests held at a time.
+    pub held: usize,
+    /// A pool that nobody used for this long is let go.
+    pub pool_idle: Duration,
+    /// Where clients come.
+    pub listen: Vec<Listen>,
+    /// The file of the catalogue.
+    pub store: PathBuf,
+    /// The administration API, if there is one.
+    pub admin: Option<AdminConfig>,
+}
+
+/// A fault of the file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line that it is on, from 1.
+    pub line: usize,
+    /// What is wrong and what to do.
+    pub problem: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.problem)
+    }
+}
+
+/// Reads tables and notes what is wrong with them.
+struct Reader<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+}
+
+/// A table with the keys that were asked for; the others are faults.
+struct Section<'a, 'i> {
+    path: String,
+    span: Range<usize>,
+    table: &'a DeTable<'i>,
+    known: BTreeSet<&'static str>,
+}
+
+impl<'a, 'i> Section<'a, 'i> {
+    fn new(path: &str, span: Range<usize>, table: &'a DeTable<'i>) -> Self {
+        Section { path: path.to_owned(), span, table, known: BTreeSet::new() }
+    }
+
+    fn get(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'i>>> {
+        self.known.insert(key);
+        self.table.iter().find(|(name, _)| name.get_ref() == key).map(|(_, value)| value)
+    }
+
+    fn at(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+}
+
+impl Reader<'_> {
+    fn fault(&mut self, span: Range<usize>, problem: String) {
+        let line = self.text[..span.start.min(self.text.len())].matches('\n').count() + 1;
+        self.faults.push(Fault { line, problem });
+    }
+
+    /// A value that the function understands; `None` for one that is absent or at fault.
+    fn value<T>(
+        &mut self,
+        section: &mut Section<'_, '_>,
+        key: &'static str,
+        right: &str,
+        read: impl FnOnce(&DeValue<'_>) -> Option<T>,
+    ) -> Option<T> {
+        let value = section.get(key)?;
+        let taken = read(value.get_ref());
+        if taken.is_none() {
+            self.fault(value.span(), format!("{}: give {right}", section.at(key)));
+        }
+        taken
+    }
+
+    fn whole(&mut self, s: &mut Section<'_, '_>, key: &'static str, range: Range<u64>) -> Option<u64> {
+        let right = format!("a whole number from {} to {}", range.start, range.end - 1);
+        self.value(s, key, &right, |value| {
+            let integer = value.as_integer()?;
+            let number = u64::from_str_radix(integer.as_str(), integer.radix()).ok()?;
+            range.contains(&number).then_some(number)
+        })
+    }
+
+    fn text(&mut self, s: &mut Section<'_, '_>, key: &'static str, right: &str) -> Option<String> {
+        self.value(s, key, right, |value| value.as_str().filter(|text| !text.is_empty()).map(str::to_owned))
+    }
+
+    fn address(&mut self, s: &mut Section<'_, '_>, key: &'static str) -> Option<SocketAddr> {
+        self.value(s, key, "an address and port, such as \"127.0.0.1:8080\"", |v| v.as_str()?.parse().ok())
+    }
+
+    fn required<T>(&mut self, section: &Section<'_, '_>, key: &str, value: Option<T>) -> Option<T> {
+        let present = section.table.iter().any(|(name, _)| name.get_ref() == key);
+        if value.is_none() && !present {
+            self.fault(section.span.clone(), format!("{} is missing", section.at(key)));
+        }
+        value
+    }
+
+    fn section<'a, 'i>(
+        &mut self,
+        parent: &mut Section<'a, 'i>,
+        key: &'static str,
+    ) -> Option<Section<'a, 'i>> {
+        let value = parent.get(key)?;
+        let Some(table) = value.get_ref().as_table() else {
+            self.fault(
+                value.span(),
+                format!("{}: write it as a table, [{}]", parent.at(key), parent.at(key)),
+            );
+            return None;
+        };
+        Some(Section::new(&parent.at(key), value.span(), table))
+    }
+
+    /// Names the keys that nobody asked for.
+    fn done(&mut self, section: Section<'_, '_>) {
+        for (key, _) in section.table.iter() {
+            if !section.known.contains(key.get_ref().as_ref()) {
+                let known: Vec<&str> = section.known.iter().copied().collect();
+                let problem = format!(
+                    "{} is not known here; known are {}",
+                    section.at(key.get_ref()),
+                    known.join(", ")
+                );
+                self.fault(key.span(), problem);
+            }
+        }
+    }
+}
+
+impl HostedConfig {
+    /// Reads a file. Paths in it are relative to its folder.
+    ///
+    /// # Errors
+    /// Every fault, in the order of the lines.
+    pub fn read(text: &str, folder: &Path) -> Result<HostedConfig, Vec<Fault>> {
+        let (root, errors) = DeTable::parse_recoverable(text);
+        let mut reader = Reader { text, faults: Vec::new() };
+        for error in &errors {
+            reader.fault(error.span().unwrap_or(0..0), error.message().to_owned());
+        }
+        let mut top = Section::new("", root.span(), root.get_ref());
+        let config = Self::take(&mut reader, &mut top, folder);
+        reader.done(top);
+        reader.faults.sort_by_key(|fault| fault.line);
+        reader.faults.dedup();
+        match config {
+            Some(config) if reader.faults.is_empty() => Ok(config),
+            _ => Err(reader.faults),
+        }
+    }
+
+    fn take(reader: &mut Reader<'_>, top: &mut Section<'_, '_>, folder: &Path) -> Option<HostedConfig> {
+        let name = reader.text(top, "name", "a name for the log").unwrap_or_else(|| "woodgap".to_owned());
+        let nodes = reader.whole(top, "nodes", 1..10_001).unwrap_or(1) as u32;
+        let seed = reader.whole(top, "seed", 0..1 << 53);
+        let (mut sockets, mut memory_mb, mut held) = (None, None, None);
+        if let Some(mut limits) = reader.section(top, "limits") {
+            sockets = reader.whole(&mut limits, "sockets", 64..1_048_577);
+            memory_mb = reader.whole(&mut limits, "memory_mb", 32..1_048_577);
+            held = reader.whole(&mut limits, "held_requests", 1..1_048_577);
+            reader.done(limits);
+        }
+        let mut pool_idle = None;
+        if let Some(mut pools) = reader.section(top, "pools") {
+            pool_idle = reader.whole(&mut pools, "idle_s", 1..86_401);
+            reader.done(pools);
+        }
+        let listen = Self::listeners(reader, top);
+        let mut store = None;
+        if let Some(mut section) = reader.section(top, "store") {
+            let path = reader.text(&mut section, "path", "the file of the catalogue");
+            store = reader.required(&section, "path", path);
+            reader.done(section);
+        } else if top.table.iter().all(|(key, _)| key.get_ref() != "store") {
+            reader.fault(0..0, "[store] is missing: it names the file of the catalogue as path".to_owned());
+        }
+        let admin = match reader.section(top, "admin") {
+            Some(mut section) => {
+                let admin = Self::admin(reader, &mut section, folder);
+                reader.done(section);
+                admin
+            }
+            None => None,
+        };
+        let seed = seed.unwrap_or_else(|| fastrand::u64(..));
+        Some(HostedConfig {
+            name,
+            nodes,
+            seed,
+            sockets: sockets.unwrap_or(4_096) as usize,
+            memory: (memory_mb.unwrap_or(1_024) as usize) << 20,
+            held: held.unwrap_or(20_000) as usize,
+            pool_idle: Duration::from_secs(pool_idle.unwrap_or(10)),
+            listen: listen?,
+            store: folder.join(store?),
+            admin,
+        })
+    }
+
+    fn listeners(reader: &mut Reader<'_>, top: &mut Section<'_, '_>) -> Option<Vec<Listen>> {
+        let Some(value) = top.get("listen") else {
+            reader.fault(0..0, "[[listen]] is missing: it gives name and address of a listener".to_owned());
+            return None;
+        };
+        let tables = value.get_ref().as_array().map(|items| items.iter().collect::<Vec<_>>());
+        let Some(tables) = tables.filter(|items| items.iter().all(|item| item.get_ref().is_table())) else {
+            reader.fault(value.span(), "listen: write it as tables, [[listen]]".to_owned());
+            return None;
+        };
+        if tables.len() > MOST_LISTENERS {
+            reader.fault(value.span(), format!("listen: give {MOST_LISTENERS} at most"));
+        }
+        let mut listeners: Vec<Listen> = Vec::new();
+        for item in tables {
+            let Some(table) = item.get_ref().as_table() else { continue };
+            let mut section = Section::new("listen", item.span(), table);
+            let name = reader.text(&mut section, "name", "a name that tenants may be named by");
+            let name = reader.required(&section, "name", name);
+            let address = reader.address(&mut section, "address");
+            let address = reader.required(&section, "address", address);
+            if let (Some(name), Some(address)) = (name, address) {
+                if listeners.iter().any(|other| other.name == name) {
+                    reader.fault(item.span(), format!("listen.name: '{name}' stands there twice"));
+                }
+                if address.port() != 0 && listeners.iter().any(|other| other.address == address) {
+                    reader.fault(item.span(), format!("listen.address: {address} stands there twice"));
+                }
+                listeners.push(Listen { name, address });
+            }
+            reader.done(section);
+        }
+        Some(listeners)
+    }
+
+    fn admin(reader: &mut Reader<'_>, section: &mut Section<'_, '_>, folder: &Path) -> Option<AdminConfig> {
+        let listen = reader.address(section, "listen").unwrap_or(SocketAddr::from(([127, 0, 0, 1], 9901)));
+        let public =
+            reader.value(section, "public", "true or false", |value| value.as_bool()).unwrap_or(false);
+        if !listen.ip().is_loopback() && !public {
+            let span = section.get("listen").map_or(section.span.clone(), Spanned::span);
+            let problem =
+                "admin.listen: others than this machine would reach it; say public = true if that is meant";
+            reader.fault(span, problem.to_owned());
+        }
+        let connections = reader.whole(section, "connections", 1..4_097).unwrap_or(64) as usize;
+        let file = reader.text(section, "token_file", "the file with the tokens, mode 0600");
+        let file = reader.required(section, "token_file", file)?;
+        Some(AdminConfig { listen, token_file: folder.join(file), connections })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn faults(text: &str) -> Vec<(usize, String)> {
+        let faults = HostedConfig::read(text, Path::new("/etc")).unwrap_err();
+        faults.into_iter().map(|fault| (fault.line, fault.problem)).collect()
+    }
+
+    #[test]
+    fn the_example_is_what_its_comments_say() {
+        let text = include_str!("../../../../deploy/hosted.toml");
+        let config = HostedConfig::read(text, Path::new("/srv/woodgap")).unwrap();
+        assert_eq!(config.listen[0].name, "public");
+        assert!(config.store.starts_with("/srv/woodgap") || config.store.is_absolute());
+        assert!(config.admin.unwrap().listen.ip().is_loopback());
+    }
+
+    #[test]
+    fn what_is_left_out_has_a_default() {
+        let text = "[[listen]]\nname = 'a'\naddress = '127.0.0.1:0'\n[store]\npath = 'c.redb'\n";
+        let config = HostedConfig::read(text, Path::new("/etc")).unwrap();
+        assert_eq!((config.nodes, config.sockets, config.memory), (1, 4_096, 1 << 30));
+        assert_eq!(config.store, Path::new("/etc/c.redb"));
+        assert!(config.admin.is_none());
+    }
+
+    #[test]
+    fn every_fault_is_told_with_its_line() {
+        let text =
+            "nodes = 0\nspeed = 1\n[limits]\nsockets = 'many'\n[[listen]]\nname = 'a'\naddress = 'here'\n\
+            [[listen]]\naddress = '127.0.0.1:80'\nport = 80\n[admin]\nlisten = '0.0.0.0:1'\n[store]\n";
+        let lines: Vec<usize> = faults(text).iter().map(|fault| fault.0).collect();
+        assert_eq!(lines, [1, 2, 4, 7, 8, 10, 11, 12, 13], "{:?}", faults(text));
+        assert!(faults(text)[1].1.contains("speed is not known here; known are"));
+    }
+
+    #[test]
+    fn faults_of_the_form_are_told_too() {
+        let found = faults("nodes = \n[[listen]]\nname = 'a'\naddress = '127.0.0.1:0'\n[store\npath = 'c'\n");
+        assert!(
+            found.iter().any(|fault| fault.0 == 1) && found.iter().any(|fault| fault.0 == 5),
+            "{found:?}"
+        );
+        assert!(faults("").iter().any(|(_, problem)| problem.contains("[[listen]]")));
+    }
+
+    #[test]
+    fn a_public_admin_port_has_to_be_meant() {
+        let text = "[[listen]]\nname = 'a'\naddress = '127.0.0.1:0'\n[store]\npath = 'c'\n[admin]\n\
+            listen = '0.0.0.0:99'\ntoken_file = 't'\n";
+        assert!(faults(text)[0].1.contains("public = true"));
+        assert!(HostedConfig::read(&format!("{text}public = true\n"), Path::new("/")).is_ok());
+    }
+}
--- /dev/null
+++ b/crates/node/src/hosted/directory.rs
@@ -0,0 +1,436 @@
+//! The tenants of a node and their pools, on the data path's thread.
+
+use std::any::Any;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::StatusCode;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use woodgap_decisions::settings::Names;
+use woodgap_decisions::{
+    Class, Discovery, KeyScope, Semantics, ServerState, Settings, WeightSource, WorthBy,
+};
+use woodgap_tenancy::catalogue::{claims_of, MemberView};
+use woodgap_tenancy::quota::Quota;
+use woodgap_tenancy::route::{tenant_of, Claim, Unrouted};
+use woodgap_tenancy::shares::Shares;
+use woodgap_tenancy::spec::{Repeat, Scope};
+use woodgap_tenancy::{State, TenantSpec, Uid};
+
+use super::Bounds;
+use crate::config::Figures;
+use crate::front::http1::Clients;
+use crate::front::request::Fault;
+use crate::front::{Directory, Seat, Turned, NO_TENANT};
+use crate::meter::{metered, Core, Meter};
+use crate::pool::driver::{Driver, Look, Msg};
+use crate::pool::{Account, Counted, Service};
+use crate::sockets::Sockets;
+use crate::sources::discovery::{Entry as Listed, List};
+use crate::upstream::servers::Servers;
+
+/// When a request comes back that the node had no room or no turn for.
+const NO_ROOM: Duration = Duration::from_millis(250);
+/// How often pools and tenants that drain are looked over.
+const LOOK_OVER: Duration = Duration::from_millis(100);
+/// Attempts' grace at a server that drains or is gone: see the rule on drains.
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
+/// The longest advice when to come back that is given.
+const LONGEST_ADVICE: Duration = Duration::from_secs(30);
+
+/// A tenant as the catalogue has it, on its way to the data path.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Which tenant.
+    pub uid: Uid,
+    /// Its name.
+    pub name: String,
+    /// Where it is in its life.
+    pub state: State,
+    /// Its document.
+    pub spec: Arc<TenantSpec>,
+    /// Its servers.
+    pub members: Vec<MemberView>,
+}
+
+/// What a tenant has going on this node.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    /// Pools: one that takes requests, and those before it that still hold some.
+    pub pools: usize,
+    /// Requests held.
+    pub held: usize,
+    /// Client connections whose latest request was the tenant's.
+    pub connections: usize,
+    /// Requests answered by a server, refused and failed since the node's start.
+    pub answers: [u64; 3],
+    /// Part of the core that its work takes, 0 to 1.
+    pub core: f64,
+    /// Its servers, where a pool runs.
+    pub servers: Vec<Look>,
+}
+
+struct Entry {
+    view: View,
+    account: Rc<Account>,
+    quota: RefCell<Option<Quota>>,
+    /// The pool that takes requests, made with the first one.
+    service: Option<Rc<Service>>,
+    /// To every pool of the tenant that has not ended.
+    pools: Vec<mpsc::WeakUnboundedSender<Msg>>,
+    /// Drivers that have not ended.
+    drivers: Rc<Cell<usize>>,
+    used: Cell<Instant>,
+}
+
+/// The tenants of a node.
+pub struct Tenants {
+    bounds: Bounds,
+    sockets: Rc<Sockets>,
+    core: Rc<Core>,
+    entries: RefCell<HashMap<Uid, Entry>>,
+    claims: RefCell<BTreeMap<Claim, Uid>>,
+    /// Tenants with a pool, and tenants that drain.
+    live: RefCell<BTreeSet<Uid>>,
+    held: Rc<RefCell<Shares>>,
+    bytes: Rc<RefCell<Shares>>,
+    connections: Rc<RefCell<Shares>>,
+    clients: RefCell<Weak<Clients>>,
+    /// Tenants that drained and hold nothing any more.
+    drained: mpsc::UnboundedSender<Uid>,
+    seeds: RefCell<fastrand::Rng>,
+}
+
+/// Units of a share, given back when dropped.
+struct Part {
+    shares: Rc<RefCell<Shares>>,
+    core: Rc<Core>,
+    uid: Uid,
+    units: u64,
+}
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        self.shares.borrow_mut().give(self.core.now(), self.uid, self.units);
+    }
+}
+
+impl Tenants {
+    /// No tenants yet. `drained` hears of each that drained and holds nothing any more.
+    pub fn new(bounds: Bounds, sockets: Rc<Sockets>, drained: mpsc::UnboundedSender<Uid>) -> Rc<Self> {
+        let shares = |whole: usize| Rc::new(RefCell::new(Shares::new(whole.max(1) as u64)));
+        let tenants = Rc::new(Tenants {
+            sockets,
+            core: Core::new(),
+            entries: RefCell::default(),
+            claims: RefCell::default(),
+            live: RefCell::default(),
+            held: shares(bounds.held),
+            bytes: shares(bounds.body_bytes),
+            connections: shares(bounds.connections),
+            clients: RefCell::default(),
+            drained,
+            seeds: RefCell::new(fastrand::Rng::with_seed(bounds.seed)),
+            bounds,
+        });
+        spawn_local(Self::look_over(Rc::downgrade(&tenants)));
+        tenants
+    }
+
+    /// Where the connections are: those of a tenant that is deleted are ended.
+    pub fn serve(&self, clients: &Rc<Clients>) {
+        *self.clients.borrow_mut() = Rc::downgrade(clients);
+    }
+
+    /// Takes a tenant as the catalogue has it now.
+    pub fn update(&self, view: View) {
+        let uid = view.uid;
+        let mut entries = self.entries.borrow_mut();
+        if let Some(old) = entries.get(&uid) {
+            let mut claims = self.claims.borrow_mut();
+            for (_, claim) in claims_of(&old.view.name, &old.view.spec) {
+                // Another tenant may have it by now.
+                if claims.get(&claim) == Some(&uid) {
+                    claims.remove(&claim);
+                }
+            }
+        }
+        let active = view.state == State::Active;
+        let entry = match entries.get_mut(&uid) {
+            Some(entry) => entry,
+            None if !active => {
+                // It drained in an earlier life of the node, which held nothing over.
+                let _ = self.drained.send(uid);
+                return;
+            }
+            None => entries.entry(uid).or_insert_with(|| Entry {
+                account: Rc::new(Account { uid, ..Account::default() }),
+                quota: RefCell::new(Quota::new(view.spec.quota_per_s, self.bounds.nodes)),
+                service: None,
+                pools: Vec::new(),
+                drivers: Rc::default(),
+                used: Cell::new(Instant::now()),
+                view: view.clone(),
+            }),
+        };
+        let (old, new) = (entry.view.spec.clone(), view.spec.clone());
+        entry.view = view;
+        entry.pools.retain(|pool| pool.strong_count() > 0);
+        for pool in entry.pools.iter().filter_map(mpsc::WeakUnboundedSender::upgrade) {
+            let _ = pool.send(Msg::Members(list(&entry.view.members)));
+        }
+        if !active {
+            entry.account.closed.set(true);
+            entry.service = None;
+            self.live.borrow_mut().insert(uid);
+            if let Some(clients) = self.clients.borrow().upgrade() {
+                clients.close_of(uid);
+            }
+            return;
+        }
+        if old.quota_per_s != new.quota_per_s {
+            *entry.quota.borrow_mut() = Quota::new(new.quota_per_s, self.bounds.nodes);
+        }
+        // A module's settings stand for its whole life: a new pool takes the requests from now on, and the
+        // old one ends with what it holds.
+        if (&old.classes, &old.pool) != (&new.classes, &new.pool) {
+            entry.service = None;
+        } else if let Some(service) = &entry.service {
+            service.weight.set(new.share.weight);
+        }
+        let mut claims = self.claims.borrow_mut();
+        claims.extend(claims_of(&entry.view.name, &new).into_iter().map(|(_, claim)| (claim, uid)));
+    }
+
+    /// What a tenant has going on; `None` for one that this node does not know.
+    pub async fn standing(&self, uid: Uid) -> Option<Standing> {
+        let (mut standing, pool) = {
+            let entries = self.entries.borrow();
+            let entry = entries.get(&uid)?;
+            let account = &entry.account;
+            let standing = Standing {
+                pools: entry.drivers.get(),
+                held: account.held.get(),
+                connections: account.connections.get(),
+                answers: [account.served.get(), account.refused.get(), account.failed.get()],
+                core: self.core.use_of(uid).1,
+                servers: Vec::new(),
+            };
+            (standing, entry.service.as_ref().map(|service| service.tx.clone()))
+        };
+        if let Some(pool) = pool {
+            let (reply, looks) = oneshot::channel();
+            let _ = pool.send(Msg::Look(reply));
+            standing.servers = looks.await.unwrap_or_default();
+        }
+        Some(standing)
+    }
+
+    /// Starts a tenant's pool.
+    fn start(&self, entry: &mut Entry) -> Rc<Service> {
+        let spec = &entry.view.spec;
+        let (settings, names) = settings_of(spec, self.bounds.nodes);
+        let (tx, rx) = mpsc::unbounded_channel();
+        let (uid, weight) = (entry.view.uid, spec.share.weight);
+        let meter = Meter::new(self.core.clone(), uid, weight);
+        let figures = Figures {
+            dial_timeout: Duration::from_millis(spec.pool.dial_timeout_ms),
+            keepalive: Duration::from_millis(spec.pool.keepalive_ms),
+            drain_grace: DRAIN_GRACE,
+            open_cap: self.bounds.held,
+            report: spec.pool.report.clone(),
+        };
+        let servers = Servers::new(figures, self.sockets.clone(), Some(meter.clone()));
+        let seed = self.seeds.borrow_mut().u64(..);
+        let mut driver = Driver::new(&settings, seed, None, servers, None, &tx, Some(meter.clone()));
+        driver.start(&list(&entry.view.members));
+        let drivers = entry.drivers.clone();
+        drivers.set(drivers.get() + 1);
+        spawn_local(async move {
+            metered(Some(meter), driver.run(rx)).await;
+            drivers.set(drivers.get() - 1);
+        });
+        entry.pools.push(tx.downgrade());
+        let account = entry.account.clone();
+        let service =
+            Rc::new(Service { settings, names, orgs: false, tx, account, weight: Cell::new(weight) });
+        entry.service = Some(service.clone());
+        self.live.borrow_mut().insert(uid);
+        service
+    }
+
+    /// Lets pools go that nobody used for long, and tells of tenants that have drained.
+    async fn look_over(tenants: Weak<Tenants>) {
+        loop {
+            tokio::time::sleep(LOOK_OVER).await;
+            let Some(tenants) = tenants.upgrade() else { return };
+            tenants.core.tidy();
+            let mut entries = tenants.entries.borrow_mut();
+            tenants.live.borrow_mut().retain(|uid| {
+                let Some(entry) = entries.get_mut(uid) else { return false };
+                if entry.account.closed.get() {
+                    let busy = entry.drivers.get() > 0 || entry.account.connections.get() > 0;
+                    if !busy {
+                        entries.remove(uid);
+                        let _ = tenants.drained.send(*uid);
+                    }
+                    return busy;
+                }
+                let unused = entry.used.get().elapsed() >= tenants.bounds.pool_idle;
+                if unused && entry.service.as_ref().is_some_and(|service| Rc::strong_count(service) == 1) {
+                    entry.service = None;
+                }
+                entry.pools.retain(|pool| pool.strong_count() > 0);
+                entry.service.is_some() || entry.drivers.get() > 0
+            });
+        }
+    }
+
+    fn part(&self, shares: &Rc<RefCell<Shares>>, service: &Service, units: u64) -> Option<Part> {
+        let (uid, core) = (service.account.uid, self.core.clone());
+        let taken = shares.borrow_mut().take(core.now(), uid, service.weight.get(), units);
+        taken.then(|| Part { shares: shares.clone(), core, uid, units })
+    }
+}
+
+fn turned(status: StatusCode, why: &'static str, wait: Duration) -> Turned {
+    Turned { status, why, wait: wait.min(LONGEST_ADVICE) }
+}
+
+impl Directory for Tenants {
+    fn find(&self, listener: &str, head: &Parts) -> Result<Rc<Service>, Fault> {
+        let text =
+            |name: header::HeaderName| head.headers.get(name).and_then(|v| HeaderValue::to_str(v).ok());
+        let authority = head.uri.authority().map(|a| a.as_str()).or_else(|| text(header::HOST));
+        let org = text(header::HeaderName::from_static("x-org"));
+        let uid = match tenant_of(&self.claims.borrow(), listener, authority, org) {
+            Ok(uid) => uid,
+            Err(Unrouted::Unknown) => return Err(NO_TENANT),
+            Err(Unrouted::Ambiguous) => {
+                return Err((StatusCode::BAD_REQUEST, "Host or listener and X-Org name two tenants\n"))
+            }
+        };
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.get_mut(&uid).ok_or(NO_TENANT)?;
+        entry.used.set(Instant::now());
+        match &entry.service {
+            Some(service) => Ok(service.clone()),
+            None => Ok(self.start(entry)),
+        }
+    }
+
+    fn door(&self, service: &Rc<Service>) -> Result<(), Turned> {
+        let uid = service.account.uid;
+        let entries = self.entries.borrow();
+        if let Some(quota) =
+            entries.get(&uid).and_then(|e| e.quota.borrow_mut().as_mut().map(|q| q.take(self.core.now())))
+        {
+            let late = |wait| {
+                turned(StatusCode::TOO_MANY_REQUESTS, "beyond the quota\n", Duration::from_micros(wait))
+            };
+            quota.map_err(late)?;
+        }
+        if !self.core.admit(uid) {
+            return Err(turned(StatusCode::SERVICE_UNAVAILABLE, "the node is busy\n", NO_ROOM));
+        }
+        Ok(())
+    }
+
+    fn hold(&self, service: &Rc<Service>, body: u64) -> Result<Seat, Turned> {
+        let full = |why| turned(StatusCode::SERVICE_UNAVAILABLE, why, NO_ROOM);
+        let most = self.entries.borrow().get(&service.account.uid).map_or(0, |e| e.view.spec.share.max_held);
+        if most > 0 && service.account.held.get() >= most as usize {
+            return Err(full("the tenant holds as many requests as it may\n"));
+        }
+        let held = self.part(&self.held, service, 1).ok_or_else(|| full("no room for more requests\n"))?;
+        let bytes = self.part(&self.bytes, service, body).ok_or_else(|| full("no room for the body\n"))?;
+        let count = Counted::new(service.account.clone(), |account| &account.held);
+        Ok(Box::new((held, bytes, count)) as Box<dyn Any>)
+    }
+
+    fn seat(&self, service: &Rc<Service>) -> Option<Seat> {
+        let part = self.part(&self.connections, service, 1);
+        let count = Counted::new(service.account.clone(), |account| &account.connections);
+        part.map(|part| Box::new((part, count)) as Box<dyn Any>)
+    }
+
+    fn is_over(&self, uid: Uid) -> bool {
+        self.connections.borrow().is_over(uid)
+    }
+
+    fn longest(&self) -> Duration {
+        let entries = self.entries.borrow();
+        let longest = entries.values().map(|entry| entry.view.spec.longest_deadline_ms()).max();
+        Duration::from_millis(longest.unwrap_or(0))
+    }
+
+    fn core(&self) -> Option<&Rc<Core>> {
+        Some(&self.core)
+    }
+}
+
+/// The servers in the form of a list that is whole.
+fn list(members: &[MemberView]) -> List {
+    let entry = |member: &MemberView| Listed {
+        id: member.id.clone(),
+        addr: member.address,
+        zone: member.zone.clone(),
+        cell: member.cell,
+        state: if member.in_service { ServerState::InService } else { ServerState::Terminating },
+        size: member.size,
+        up_since_ms: member.since_ms,
+    };
+    List { revision: None, complete: true, entries: members.iter().map(entry).collect() }
+}
+
+/// What a tenant's module goes by.
+fn settings_of(spec: &TenantSpec, nodes: u32) -> (Settings, Names) {
+    let micros = |ms: u64| ms.saturating_mul(1_000);
+    let classes = spec.classes.values().map(|class| Class {
+        aim: micros(class.aim_ms.unwrap_or(class.deadline_ms)),
+        deadline: micros(class.deadline_ms),
+        points: class.worth,
+        late_share: class.late_share,
+        semantics: match class.repeat {
+            Repeat::Safe => Semantics::Safe,
+            Repeat::Unsafe => Semantics::Unsafe,
+            Repeat::Keyed => Semantics::Keyed {
+                scope: match class.scope {
+                    Scope::All => KeyScope::All,
+                    Scope::Zone => KeyScope::Zone,
+                    Scope::Cell => KeyScope::Cell,
+                },
+                ttl: micros(class.window_ms),
+            },
+        },
+        in_order: class.in_order,
+    });
+    let pool = &spec.pool;
+    let settings = Settings {
+        group_size: nodes,
+        classes: classes.collect(),
+        worth_by: WorthBy::Request,
+        weight_source: WeightSource::Nominal,
+        discovery: Discovery::Push,
+        warm_keys: pool.warm_keys,
+        cancelling: true,
+        may_probe: pool.may_probe,
+        second_copies: pool.second_copies,
+        max_attempts: pool.max_attempts,
+        retry_after: true,
+        max_retry_after: LONGEST_ADVICE.as_micros() as u64,
+        start_capacity: pool.start_capacity,
+        ramp_time: micros(pool.ramp_ms),
+        fall_multiple: pool.fall_multiple,
+        util_field: pool.report.iter().position(|field| field == "util"),
+        ..Settings::default()
+    };
+    (settings, Names::new(spec.classes.keys().cloned().collect(), Vec::new()))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,12 +10,18 @@
 //!
 //! - `front` owns client connections; it knows the protocol, finds the tenant and asks for room.
 //! - `pool` owns one decision module and carries its actions out; `upstream` owns connections to servers.
+//! - [`hosted`] is many tenants in one node: its directory, and the control thread with catalogue and store.
+//! - [`store`] is where the catalogue lasts.
 //! - [`platform`] is the platform's node: one tenant, one pool, `BALANCER_CONFIG`.
 //!
 //! Everything of the data path runs on one thread: what it shares are `Rc` and `Cell`, never locks.
 
+mod admin;
+pub mod cli;
 mod config;
+mod control;
 mod front;
+pub mod hosted;
 mod log;
 mod meter;
 mod peers;
@@ -23,5 +29,6 @@
 mod pool;
 mod sockets;
 mod sources;
+pub mod store;
 mod task;
 mod upstream;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,13 +1,5 @@
-//! The program `woodgap`: see [`woodgap`].
+//! The program `woodgap`: see the library's front page.
 
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    match woodgap::platform::start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("woodgap: {error}");
-            ExitCode::FAILURE
-        }
-    }
+fn main() -> std::process::ExitCode {
+    woodgap::cli::run()
 }
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -373,7 +373,9 @@
                 spawn_local(async move {
                     let sent = Instant::now();
                     let ended = servers.probe(server).await;
-                    let _ = tx.map(|tx| tx.send(Msg::Probed { server, ended, spent: sent.elapsed() }));
+                    if let Some(tx) = tx {
+                        let _ = tx.send(Msg::Probed { server, ended, spent: sent.elapsed() });
+                    }
                 });
             }
             Action::CloseIdle(server) => self.servers.close_idle(server),
@@ -413,7 +415,9 @@
         let attempt = attempt as u32;
         let task = AbortOnDrop::spawn(metered(self.meter.clone(), async move {
             let ended = servers.attempt(server, &call, until).await;
-            let _ = tx.map(|tx| tx.send(Msg::Closed { id, attempt, ended }));
+            if let Some(tx) = tx {
+                let _ = tx.send(Msg::Closed { id, attempt, ended });
+            }
         }));
         held.attempts.push(Some(Out { server, sent: now, _task: task }));
     }
--- /dev/null
+++ b/crates/testkit/src/admin.rs
@@ -0,0 +1,144 @@
+//! A client of the administration API.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use serde_json::{json, Value};
+
+use crate::client::Connection;
+
+/// What was answered.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Its status.
+    pub status: u16,
+    /// Its entity tag.
+    pub etag: Option<String>,
+    /// Its media type.
+    pub kind: String,
+    /// Its body; null where it is no JSON.
+    pub body: Value,
+}
+
+/// What a write says that it has seen.
+#[derive(Clone, Copy, Debug)]
+pub enum If<'a> {
+    /// Nothing.
+    Unsaid,
+    /// That there is no such document.
+    Absent,
+    /// The document with this tag.
+    Match(&'a str),
+}
+
+/// An administrator with a token.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    /// Where the API listens.
+    pub addr: SocketAddr,
+    /// The token's secret.
+    pub secret: String,
+}
+
+impl Admin {
+    /// Calls a path under `/v1`.
+    ///
+    /// # Errors
+    /// As the connection ends.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        seen: If<'_>,
+        body: Option<&Value>,
+    ) -> io::Result<Reply> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("/v1/{path}"))
+            .header("host", "admin")
+            .header("authorization", format!("Bearer {}", self.secret));
+        request = match seen {
+            If::Unsaid => request,
+            If::Absent => request.header("if-none-match", "*"),
+            If::Match(tag) => request.header("if-match", tag),
+        };
+        if body.is_some() {
+            request = request.header("content-type", "application/json");
+        }
+        let body = body.map_or(Bytes::new(), |body| Bytes::from(body.to_string()));
+        let request = request.body(Full::new(body)).map_err(io::Error::other)?;
+        let answer = Connection::open(self.addr).await?.send(request).await?;
+        let text = |name: &str| answer.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        Ok(Reply {
+            status: answer.status.as_u16(),
+            etag: text("etag"),
+            kind: text("content-type").unwrap_or_default(),
+            body: serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
+        })
+    }
+
+    /// Reads.
+    ///
+    /// # Errors
+    /// As [`Admin::call`].
+    pub async fn get(&self, path: &str) -> io::Result<Reply> {
+        self.call(Method::GET, path, If::Unsaid, None).await
+    }
+
+    /// Writes.
+    ///
+    /// # Errors
+    /// As [`Admin::call`].
+    pub async fn put(&self, path: &str, seen: If<'_>, body: &Value) -> io::Result<Reply> {
+        self.call(Method::PUT, path, seen, Some(body)).await
+    }
+
+    /// Deletes.
+    ///
+    /// # Errors
+    /// As [`Admin::call`].
+    pub async fn delete(&self, path: &str, seen: If<'_>) -> io::Result<Reply> {
+        self.call(Method::DELETE, path, seen, None).await
+    }
+
+    /// Deletes what is there, whatever it is.
+    ///
+    /// # Errors
+    /// As [`Admin::call`], and where it is not there.
+    pub async fn remove(&self, path: &str) -> io::Result<Reply> {
+        let tag = self.get(path).await?.etag.ok_or(io::ErrorKind::NotFound)?;
+        self.delete(path, If::Match(&tag)).await
+    }
+
+    /// Creates a tenant with servers that have been warm for long.
+    ///
+    /// # Errors
+    /// As [`Admin::call`], and where it is refused.
+    pub async fn tenant(&self, name: &str, spec: &Value, servers: &[SocketAddr]) -> io::Result<()> {
+        let made = self.put(&format!("tenants/{name}"), If::Absent, spec).await?;
+        if made.status != 201 {
+            return Err(io::Error::other(format!("{made:?}")));
+        }
+        for (i, addr) in servers.iter().enumerate() {
+            let server = json!({"address": addr, "started_ms": 0});
+            let made = self.put(&format!("tenants/{name}/backends/s{i}"), If::Absent, &server).await?;
+            if made.status != 201 {
+                return Err(io::Error::other(format!("{made:?}")));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A tenant's document with the classes `lookup` (safe) and `renew` (unsafe).
+pub fn spec(deadline_ms: u64) -> Value {
+    json!({
+        "classes": {
+            "lookup": {"repeat": "safe", "deadline_ms": deadline_ms},
+            "renew": {"repeat": "unsafe", "deadline_ms": deadline_ms, "worth": 2.0},
+        },
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/backend.rs
@@ -0,0 +1,301 @@
+//! A stand-in server: it speaks the protocol's part of servers and keeps book of what ran.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::{watch, Semaphore};
+use tokio::task::JoinHandle;
+
+/// Something new may reach a server this long after the node was told that it drains or is gone.
+pub const DRAIN_GRACE: Duration = Duration::from_millis(550);
+
+/// What a server does with a request once it has come whole.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Does {
+    /// Runs it for this long on one of its cores, and answers 200 with its `X-Txn`.
+    Serve(Duration),
+    /// Runs it and answers nothing, as long as this stands.
+    Hold,
+    /// Runs it and closes the connection unanswered.
+    Reset,
+    /// Answers 500; it may have run.
+    Error,
+    /// Turns it away unseen.
+    TurnAway,
+}
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// When its last byte had come.
+    pub at: Instant,
+    /// What the client calls it.
+    pub txn: String,
+    /// Its class.
+    pub class: String,
+    /// Its path and query.
+    pub target: String,
+    /// Whether it may have run here.
+    pub ran: bool,
+}
+
+#[derive(Default)]
+struct Book {
+    seen: Vec<Seen>,
+    /// How often a request that must run once has run, by its name.
+    ran: HashMap<String, u32>,
+    told_gone: Option<Instant>,
+}
+
+struct Shared {
+    does: watch::Sender<Does>,
+    cores: Semaphore,
+    queue: usize,
+    waiting: AtomicUsize,
+    connections: AtomicUsize,
+    opened: AtomicU64,
+    requests: AtomicU64,
+    late: AtomicU64,
+    keep: bool,
+    book: Mutex<Book>,
+}
+
+/// A server on a loopback port, until it is dropped.
+pub struct Backend {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+/// How a server is made.
+#[derive(Clone, Copy, Debug)]
+pub struct Make {
+    /// Requests that it runs at a time.
+    pub cores: usize,
+    /// Requests that may wait for a core; more are turned away.
+    pub queue: usize,
+    /// Whether it remembers each request: off for load.
+    pub remember: bool,
+}
+
+impl Default for Make {
+    fn default() -> Self {
+        Make { cores: 64, queue: 1_024, remember: true }
+    }
+}
+
+impl Backend {
+    /// A server that remembers what it saw.
+    pub async fn start(does: Does) -> std::io::Result<Backend> {
+        Backend::make(does, Make::default()).await
+    }
+
+    /// A server made to measure.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn make(does: Does, make: Make) -> std::io::Result<Backend> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            does: watch::Sender::new(does),
+            cores: Semaphore::new(make.cores),
+            queue: make.queue,
+            waiting: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+            opened: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+            late: AtomicU64::new(0),
+            keep: make.remember,
+            book: Mutex::default(),
+        });
+        let state = shared.clone();
+        let task = tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { continue };
+                        let _ = stream.set_nodelay(true);
+                        state.opened.fetch_add(1, Ordering::Relaxed);
+                        state.connections.fetch_add(1, Ordering::Relaxed);
+                        let state = state.clone();
+                        connections.spawn(async move {
+                            let served = state.clone();
+                            let service = service_fn(move |request| answer(served.clone(), request));
+                            // A reset ends it by an error, which is what is wanted.
+                            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                            state.connections.fetch_sub(1, Ordering::Relaxed);
+                        });
+                    }
+                    Some(_) = connections.join_next() => {}
+                }
+            }
+        });
+        Ok(Backend { addr, shared, task })
+    }
+
+    fn book<T>(&self, look: impl FnOnce(&mut Book) -> T) -> T {
+        look(&mut self.shared.book.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes what it does, for requests that it holds too.
+    pub fn does(&self, does: Does) {
+        self.shared.does.send_replace(does);
+    }
+
+    /// Notes that the node knows by now that this server drains or is gone.
+    pub fn gone(&self) {
+        self.book(|book| book.told_gone = Some(Instant::now()));
+    }
+
+    /// Notes that it is in service again.
+    pub fn back(&self) {
+        self.book(|book| book.told_gone = None);
+    }
+
+    /// Requests that came.
+    pub fn requests(&self) -> u64 {
+        self.shared.requests.load(Ordering::Relaxed)
+    }
+
+    /// Requests that came whole later than the grace after it was gone.
+    pub fn late_sends(&self) -> u64 {
+        self.shared.late.load(Ordering::Relaxed)
+    }
+
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// Connections that were ever opened.
+    pub fn opened(&self) -> u64 {
+        self.shared.opened.load(Ordering::Relaxed)
+    }
+
+    /// What came, where it remembers.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.book(|book| book.seen.clone())
+    }
+
+    /// How often requests that must run once have run, by their names.
+    pub fn ran(&self) -> HashMap<String, u32> {
+        self.book(|book| book.ran.clone())
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Effects that ran more than once, over servers that belong together.
+pub fn second_effects<'a>(backends: impl IntoIterator<Item = &'a Backend>) -> u64 {
+    let mut all: HashMap<String, u32> = HashMap::new();
+    for backend in backends {
+        for (txn, times) in backend.ran() {
+            *all.entry(txn).or_default() += times;
+        }
+    }
+    all.values().map(|&times| u64::from(times.saturating_sub(1))).sum()
+}
+
+/// One in a count, until dropped.
+struct Waits<'a>(&'a AtomicUsize);
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn reply(status: u16, turned_away: bool, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    if turned_away {
+        response.headers_mut().insert("x-turned-away", hyper::header::HeaderValue::from_static("1"));
+    }
+    response
+}
+
+/// An error ends the connection without an answer.
+#[derive(Debug)]
+struct Break;
+
+impl std::fmt::Display for Break {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("reset")
+    }
+}
+
+impl std::error::Error for Break {}
+
+async fn answer(state: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Break> {
+    let text = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or("").to_owned()
+    };
+    let (txn, class) = (text("x-txn"), text("x-lane"));
+    let target = request.uri().to_string();
+    // Safe requests and those whose repeats are dropped may run again.
+    let once = request.method() == Method::POST && !request.headers().contains_key("idempotency-key");
+    if request.uri().path().starts_with("/-/") {
+        return Ok(reply(200, false, ""));
+    }
+    request.into_body().collect().await.map_err(|_| Break)?;
+    let at = Instant::now();
+    state.requests.fetch_add(1, Ordering::Relaxed);
+    let mut does = *state.does.borrow();
+    let note = |ran: bool| {
+        let mut book = state.book.lock().unwrap_or_else(PoisonError::into_inner);
+        if book.told_gone.is_some_and(|told| at > told + DRAIN_GRACE) {
+            state.late.fetch_add(1, Ordering::Relaxed);
+        }
+        if ran && once {
+            *book.ran.entry(txn.clone()).or_default() += 1;
+        }
+        if state.keep {
+            let seen = Seen { at, txn: txn.clone(), class: class.clone(), target: target.clone(), ran };
+            book.seen.push(seen);
+        }
+    };
+    if does == Does::TurnAway || state.waiting.load(Ordering::Relaxed) >= state.queue {
+        note(false);
+        return Ok(reply(503, true, ""));
+    }
+    note(true);
+    if does == Does::Hold {
+        let mut changes = state.does.subscribe();
+        // The state outlives its requests.
+        does = changes.wait_for(|does| *does != Does::Hold).await.map(|does| *does).map_err(|_| Break)?;
+    }
+    match does {
+        Does::Serve(work) => {
+            if !work.is_zero() {
+                state.waiting.fetch_add(1, Ordering::Relaxed);
+                let waits = Waits(&state.waiting);
+                let _core = state.cores.acquire().await.map_err(|_| Break)?;
+                drop(waits);
+                tokio::time::sleep(work).await;
+            }
+            Ok(reply(200, false, txn))
+        }
+        Does::Error => Ok(reply(500, false, "")),
+        Does::TurnAway => Ok(reply(503, true, "")),
+        Does::Reset | Does::Hold => Err(Break),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/client.rs
@@ -0,0 +1,158 @@
+//! A client of the protocol, over HTTP/1.1.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// A request to ask.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// `X-Txn`.
+    pub txn: String,
+    /// `X-Lane`.
+    pub class: String,
+    /// `X-Org`, if any.
+    pub org: Option<String>,
+    /// `Host`.
+    pub host: String,
+    /// The key in the query.
+    pub key: String,
+    /// `GET` for a safe class, else `POST` with a small body.
+    pub safe: bool,
+    /// How long the client waits.
+    pub wait: Duration,
+}
+
+impl Ask {
+    /// A safe request of the class `lookup`.
+    pub fn lookup(org: &str, txn: impl Into<String>) -> Ask {
+        let txn = txn.into();
+        Ask {
+            key: txn.clone(),
+            txn,
+            class: "lookup".into(),
+            org: Some(org.into()),
+            host: "clubs.example".into(),
+            safe: true,
+            wait: Duration::from_secs(2),
+        }
+    }
+
+    /// An unsafe request of the class `renew`.
+    pub fn renew(org: &str, txn: impl Into<String>) -> Ask {
+        Ask { class: "renew".into(), safe: false, ..Ask::lookup(org, txn) }
+    }
+
+    /// With another wait.
+    pub fn within(self, wait: Duration) -> Ask {
+        Ask { wait, ..self }
+    }
+
+    fn request(&self) -> io::Result<Request<Full<Bytes>>> {
+        let body = if self.safe { Bytes::new() } else { Bytes::from_static(b"hello") };
+        let mut request = Request::builder()
+            .method(if self.safe { Method::GET } else { Method::POST })
+            .uri(format!("/api?key={}", self.key))
+            .header("host", &self.host)
+            .header("x-txn", &self.txn)
+            .header("x-lane", &self.class)
+            .header("x-remaining-ms", self.wait.as_millis().to_string());
+        if let Some(org) = &self.org {
+            request = request.header("x-org", org);
+        }
+        request.body(Full::new(body)).map_err(io::Error::other)
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// From the first byte of the request to the last of the answer.
+    pub spent: Duration,
+}
+
+impl Answer {
+    /// `Retry-After`, in seconds.
+    pub fn retry_after(&self) -> Option<f64> {
+        self.headers.get("retry-after")?.to_str().ok()?.parse().ok()
+    }
+}
+
+/// A connection to a node.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects.
+    ///
+    /// # Errors
+    /// As connecting does.
+    pub async fn open(addr: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let task = tokio::spawn(async move { drop(connection.await) });
+        Ok(Connection { sender, task })
+    }
+
+    /// Whether it can carry another request.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Asks and waits for the whole answer. `WouldBlock` is for a request that was never written.
+    ///
+    /// # Errors
+    /// `TimedOut` after the wait and a quarter of a second, or as the connection ends.
+    pub async fn ask(&mut self, ask: &Ask) -> io::Result<Answer> {
+        let until = ask.wait + Duration::from_millis(250);
+        tokio::time::timeout(until, self.send(ask.request()?)).await.map_err(|_| io::ErrorKind::TimedOut)?
+    }
+
+    /// Sends a request and reads its answer.
+    ///
+    /// # Errors
+    /// As the connection ends.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> io::Result<Answer> {
+        let sent = Instant::now();
+        self.sender.ready().await.map_err(|_| io::ErrorKind::WouldBlock)?;
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(error) if error.message().is_some() => return Err(io::ErrorKind::WouldBlock.into()),
+            Err(error) => return Err(io::Error::other(error.into_error())),
+        };
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        Ok(Answer { status: head.status, headers: head.headers, body, spent: sent.elapsed() })
+    }
+}
+
+/// Asks on a connection of its own.
+///
+/// # Errors
+/// As [`Connection::open`] and [`Connection::ask`].
+pub async fn ask(addr: SocketAddr, ask: &Ask) -> io::Result<Answer> {
+    Connection::open(addr).await?.ask(ask).await
+}
--- /dev/null
+++ b/crates/testkit/src/hosted.rs
@@ -0,0 +1,128 @@
+//! A hosted node in this process, with a store and tokens in a temporary folder.
+
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::time::Duration;
+
+use tempfile::TempDir;
+use woodgap::hosted::config::{AdminConfig, HostedConfig, Listen};
+use woodgap::hosted::{spawn, Running};
+use woodgap::store::embedded::Embedded;
+use woodgap::store::Store;
+
+use crate::admin::Admin;
+
+/// The operator's secret.
+pub const OPERATOR: &str = "operator-secret-0001";
+/// The secret of the tenant `acme`.
+pub const ACME: &str = "acme-tenant-secret-1";
+
+/// A node and where it is.
+pub struct Site {
+    /// Its first listener.
+    pub addr: SocketAddr,
+    /// Its operator.
+    pub admin: Admin,
+    /// The node, until it is stopped.
+    pub node: Option<Running>,
+    /// Its folder.
+    pub folder: TempDir,
+    config: HostedConfig,
+}
+
+/// Writes tokens for the operator and for the tenant `acme`.
+///
+/// # Errors
+/// As writing does.
+pub fn tokens(path: &Path) -> std::io::Result<()> {
+    let text = format!(
+        "[[token]]\nname = \"ops\"\nsecret = \"{OPERATOR}\"\nright = \"operator\"\n\n\
+        [[token]]\nname = \"acme\"\nsecret = \"{ACME}\"\nright = \"tenant\"\ntenant = \"acme\"\n"
+    );
+    std::fs::write(path, text)?;
+    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))
+}
+
+impl Site {
+    /// A node as it comes.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub fn start() -> Result<Site, String> {
+        Site::configured(|_| {})
+    }
+
+    /// A node with its configuration changed.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub fn configured(change: impl FnOnce(&mut HostedConfig)) -> Result<Site, String> {
+        Site::with(change, |config| Box::new(Embedded::file(&config.store)))
+    }
+
+    /// A node with a store of the caller's.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub fn with(
+        change: impl FnOnce(&mut HostedConfig),
+        store: impl FnOnce(&HostedConfig) -> Box<dyn Store>,
+    ) -> Result<Site, String> {
+        let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+        let token_file = folder.path().join("tokens.toml");
+        tokens(&token_file).map_err(|error| error.to_string())?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut config = HostedConfig {
+            name: "n1".into(),
+            nodes: 1,
+            seed: 7,
+            sockets: 1_024,
+            memory: 1 << 30,
+            held: 20_000,
+            pool_idle: Duration::from_secs(10),
+            listen: vec![Listen { name: "public".into(), address: any }],
+            store: folder.path().join("catalogue.redb"),
+            admin: Some(AdminConfig { listen: any, token_file, connections: 32 }),
+        };
+        change(&mut config);
+        let store = store(&config);
+        let node = spawn(config.clone(), store)?;
+        let admin = node.addresses.admin.ok_or("no administration API")?;
+        let addr = node.addresses.listeners.first().ok_or("no listener")?.1;
+        let admin = Admin { addr: admin, secret: OPERATOR.into() };
+        Ok(Site { addr, admin, node: Some(node), folder, config })
+    }
+
+    /// The address of a listener.
+    pub fn listener(&self, name: &str) -> Option<SocketAddr> {
+        let node = self.node.as_ref()?;
+        node.addresses.listeners.iter().find(|(other, _)| other == name).map(|(_, addr)| *addr)
+    }
+
+    /// An administrator with another secret.
+    pub fn admin_with(&self, secret: &str) -> Admin {
+        Admin { addr: self.admin.addr, secret: secret.into() }
+    }
+
+    /// Stops the node.
+    ///
+    /// # Errors
+    /// Why it ended otherwise.
+    pub fn stop(&mut self) -> Result<(), String> {
+        self.node.take().map_or(Ok(()), Running::stop)
+    }
+
+    /// Starts it again on the store that it left.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub fn again(&mut self) -> Result<(), String> {
+        self.stop()?;
+        let node = spawn(self.config.clone(), Box::new(Embedded::file(&self.config.store)))?;
+        self.admin.addr = node.addresses.admin.ok_or("no administration API")?;
+        self.addr = node.addresses.listeners.first().ok_or("no listener")?.1;
+        self.node = Some(node);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for what is around a node, on loopback: servers, clients, load, and a hosted node to aim at.
+//!
+//! ```text
+//!   load::run ─▶ client ─▶ ( hosted::Site: a node in this process ) ─▶ backend::Backend
+//!                               ▲ admin::Admin                            counts what ran, twice, or too late
+//! ```
+//!
+//! What broke a rule is counted here, never by the node: a [`backend::Backend`] knows which effects ran
+//! twice and which requests came after it was gone, a client which answers never came.
+
+pub mod admin;
+pub mod backend;
+pub mod client;
+pub mod hosted;
+pub mod load;
