--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -84,10 +84,7 @@
 
 /// Runs the program.
 pub fn run() -> ExitCode {
-    // The platform's node pays nothing for a command line that it does not have.
-    let bare = std::env::args_os().len() <= 1;
-    let command = if bare { None } else { Line::parse().command };
-    let done = match command {
+    let done = match Line::parse().command {
         None => platform::start(),
         Some(Command::Serve { config }) => serve(&config),
         Some(Command::Check { config }) => check(&config),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,13 +14,22 @@
 //! - [`store`] is where the catalogue lasts.
 //! - [`platform`] is the platform's node: one tenant, one pool, `BALANCER_CONFIG`.
 //!
+//! The feature `hosted` (on unless said otherwise) is what the platform's node does not need.
+//!
 //! Everything of the data path runs on one thread: what it shares are `Rc` and `Cell`, never locks.
 
+// The platform's node has one tenant and never asks for what many need.
+#![cfg_attr(not(feature = "hosted"), allow(dead_code))]
+
+#[cfg(feature = "hosted")]
 mod admin;
+#[cfg(feature = "hosted")]
 pub mod cli;
 mod config;
+#[cfg(feature = "hosted")]
 mod control;
 mod front;
+#[cfg(feature = "hosted")]
 pub mod hosted;
 mod log;
 mod meter;
@@ -29,6 +38,7 @@
 mod pool;
 mod sockets;
 mod sources;
+#[cfg(feature = "hosted")]
 pub mod store;
 mod task;
 mod upstream;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,13 @@
 //! The program `woodgap`: see the library's front page.
 
-fn main() -> std::process::ExitCode {
+use std::process::ExitCode;
+
+#[cfg(feature = "hosted")]
+fn main() -> ExitCode {
     woodgap::cli::run()
 }
+
+#[cfg(not(feature = "hosted"))]
+fn main() -> ExitCode {
+    woodgap::platform::run()
+}
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -72,7 +72,7 @@
     }
 }
 
-async fn run(config: Config, path: String) -> Result<(), Box<dyn Error>> {
+async fn serve(config: Config, path: String) -> Result<(), Box<dyn Error>> {
     // Before the node is ready: an unhandled SIGHUP ends the process.
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -120,14 +120,14 @@
     let driver = spawn_local(driver.run(rx));
     let acceptor = spawn_local(clients.clone().accept(listener, "".into()));
     crate::log::line(format_args!("{} listens on {listen}", config.name));
-    let serve = async {
+    let drain = async {
         term.recv().await;
         crate::log::line(format_args!("{} drains", config.name));
         clients.drain().await;
     };
     // Without its driver or acceptor a node answers nobody; the platform starts a new one.
     tokio::select! {
-        () = serve => Ok(()),
+        () = drain => Ok(()),
         ended = driver => Err(format!("the driver ended: {ended:?}").into()),
         ended = acceptor => Err(format!("the acceptor ended: {ended:?}").into()),
     }
@@ -137,6 +137,17 @@
     Ok(std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?)
 }
 
+/// Runs the platform's node as a program that has nothing else.
+pub fn run() -> std::process::ExitCode {
+    match start() {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("woodgap: {error}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
+
 /// Runs the node that `BALANCER_CONFIG` and its fellows describe, until SIGTERM.
 ///
 /// # Errors
@@ -148,5 +159,5 @@
     let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
     let config = Config::read(&read(path)?, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(config, path.clone())))
+    runtime.block_on(LocalSet::new().run_until(serve(config, path.clone())))
 }
--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -29,6 +29,10 @@
         /// A program `woodgap` built from the tree before, to compare the platform's node with.
         #[arg(long)]
         before: Option<PathBuf>,
+        /// The platform's node as `deploy/balancer.toml` builds it; the program beside this one where it is
+        /// absent.
+        #[arg(long)]
+        platform: Option<PathBuf>,
         /// One part alone: isolation, changes, platform or idle.
         #[arg(long)]
         only: Option<String>,
@@ -36,14 +40,14 @@
 }
 
 fn main() -> ExitCode {
-    let Proof::Tenants { long, before, only } = Line::parse().proof;
+    let Proof::Tenants { long, before, platform, only } = Line::parse().proof;
     // The load and the stand-ins leave a core for the node.
     let threads =
         std::thread::available_parallelism().map_or(1, |cores| cores.get().saturating_sub(1)).max(1);
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
     let measured = runtime
         .map_err(Into::into)
-        .and_then(|runtime| runtime.block_on(tenants::measure(long, before, only.as_deref())));
+        .and_then(|runtime| runtime.block_on(tenants::measure(long, before, platform, only.as_deref())));
     match measured {
         Ok(figures) => {
             println!("{figures}");
--- a/crates/proof/src/tenants.rs
+++ b/crates/proof/src/tenants.rs
@@ -300,13 +300,13 @@
     Ok((node.memory_kib("VmRSS")?, used, node.memory_kib("RssAnon")?))
 }
 
-async fn compared(before: Option<&Path>) -> Result<Value, Fault> {
+async fn compared(now: Option<PathBuf>, before: Option<&Path>) -> Result<Value, Fault> {
     let fast = Make { cores: 64, queue: 4_096, remember: false };
     let mut servers = Vec::new();
     for _ in 0..6 {
         servers.push(Backend::make(Does::Serve(Duration::from_millis(5)), fast).await?);
     }
-    let now = program()?;
+    let now = now.map_or_else(program, Ok)?;
     let (mut new, mut old) = (Vec::new(), Vec::new());
     let rounds = 5;
     for round in 0..rounds {
@@ -354,7 +354,12 @@
 }
 
 /// All of it, or one part; the figures as one object.
-pub async fn measure(long: bool, before: Option<PathBuf>, only: Option<&str>) -> Result<Value, Fault> {
+pub async fn measure(
+    long: bool,
+    before: Option<PathBuf>,
+    platform: Option<PathBuf>,
+    only: Option<&str>,
+) -> Result<Value, Fault> {
     let cores = std::thread::available_parallelism().map_or(0, std::num::NonZero::get);
     let mut all = json!({"proof": "tenants", "cores": cores});
     let wanted = |part: &str| only.is_none_or(|only| only == part);
@@ -370,7 +375,7 @@
         add(changes(if long { 1_000 } else { 300 }).await?);
     }
     if wanted("platform") {
-        add(compared(before.as_deref()).await?);
+        add(compared(platform, before.as_deref()).await?);
     }
     if wanted("idle") {
         add(idle(if long { &[1_000, 10_000] } else { &[1_000] }).await?);
