--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -665,3 +665,26 @@
     until("the old one is gone", || async { drained(&site.admin).await }).await;
     tokio::task::spawn_blocking(move || site.stop()).await.unwrap().unwrap();
 }
+
+// Nothing new is taken from the moment that the delete is answered: not what had begun to come either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_body_comes_after_the_delete_is_not_taken() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let site = site().await;
+    let server = Backend::start(AT_ONCE).await.unwrap();
+    site.admin.tenant("acme", &spec(2_000), &[server.addr]).await.unwrap();
+    let mut stream = tokio::net::TcpStream::connect(site.addr).await.unwrap();
+    let head = "POST /api?key=k HTTP/1.1\r\nHost: x\r\nX-Org: acme\r\nX-Txn: t\r\nX-Lane: renew\r\n\
+        Content-Length: 5\r\n\r\nhe";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let held = |admin: Admin| async move { admin.get("tenants/acme/status").await.unwrap().body["held"] == 1 };
+    until("its head is read", || held(site.admin.clone())).await;
+    assert_eq!(site.admin.remove("tenants/acme").await.unwrap().status, 202);
+    stream.write_all(b"llo").await.unwrap();
+    let mut answer = String::new();
+    tokio::time::timeout(PATIENCE, stream.read_to_string(&mut answer)).await.unwrap().unwrap();
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    until("gone", || async { drained(&site.admin).await }).await;
+    assert_eq!(server.requests(), 0);
+}
