--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -33,6 +33,9 @@
         /// absent.
         #[arg(long)]
         platform: Option<PathBuf>,
+        /// Requests a second of the flood, open loop.
+        #[arg(long, default_value_t = 4_000.0)]
+        flood: f64,
         /// One part alone: isolation, changes, platform or idle.
         #[arg(long)]
         only: Option<String>,
@@ -40,14 +43,14 @@
 }
 
 fn main() -> ExitCode {
-    let Proof::Tenants { long, before, platform, only } = Line::parse().proof;
+    let Proof::Tenants { long, before, platform, flood, only } = Line::parse().proof;
     // The load and the stand-ins leave a core for the node.
     let threads =
         std::thread::available_parallelism().map_or(1, |cores| cores.get().saturating_sub(1)).max(1);
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
-    let measured = runtime
-        .map_err(Into::into)
-        .and_then(|runtime| runtime.block_on(tenants::measure(long, before, platform, only.as_deref())));
+    let measured = runtime.map_err(Into::into).and_then(|runtime| {
+        runtime.block_on(tenants::measure(long, before, platform, flood, only.as_deref()))
+    });
     match measured {
         Ok(figures) => {
             println!("{figures}");
--- a/crates/tenancy/src/shares.rs
+++ b/crates/tenancy/src/shares.rs
@@ -181,6 +181,10 @@
     pub const WINDOW: Micros = 200_000;
     /// Past this wait for a turn the core's time is shared out.
     pub const LAG: Micros = 4_000;
+    /// Where tenants use less than this part of the core, who waits does not wait for them.
+    pub const BUSY: f64 = 0.5;
+    /// Nor is a tenant the cause that uses less than this.
+    pub const LITTLE: f64 = 0.05;
     /// A tenant may use this much more than its part: measured use swings.
     pub const TOLERANCE: f64 = 1.15;
     /// What a new figure of the lag counts: a single late turn is no sign.
@@ -226,12 +230,13 @@
 
     /// Whether a tenant's new work may have a turn.
     pub fn admit(&self, now: Micros, uid: Uid) -> bool {
-        if self.lag <= Self::LAG as f64 {
+        let busy = self.busy(now);
+        if self.lag <= Self::LAG as f64 || busy <= Self::BUSY {
             return true;
         }
         let Some(user) = self.users.get(&uid) else { return true };
         let part = f64::from(user.weight) / (self.weights as f64).max(1.0);
-        self.used_by(now, uid) <= part * Self::TOLERANCE * self.busy(now)
+        self.used_by(now, uid) <= (part * Self::TOLERANCE * busy).max(Self::LITTLE)
     }
 
     /// Drops users that have faded; to be called now and then.
@@ -351,6 +356,9 @@
         // Where all use their part, nobody is to blame.
         let now = run(&mut core, 0.5, 0.5);
         assert!(core.admit(now, A) && core.admit(now, B));
+        // Where all use little, the wait is for something else.
+        let now = run(&mut core, 0.4, 0.02);
+        assert!(core.admit(now, A) && core.admit(now, B));
         let now = run(&mut core, 0.9, 0.05);
         assert!(!core.admit(now, A));
         (0..10).for_each(|_| core.lagged(100));
