--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admin;
 pub mod backend;
 pub mod client;
+pub mod coordination;
 pub mod disk;
 pub mod hosted;
 pub mod load;
