--- a/crates/proof/src/tenants.rs
+++ b/crates/proof/src/tenants.rs
@@ -51,6 +51,28 @@
     Ok(Site { node, admin, _folder: folder })
 }
 
+/// Lets a server of a tenant drain for a while and takes it back, and has it count what comes too late.
+async fn drains(admin: &Admin, tenant: &str, server: &Backend, pause: Duration) -> Result<(), Fault> {
+    let path = format!("tenants/{tenant}/backends/s0");
+    tokio::time::sleep(pause).await;
+    for phase in ["terminating", "in_service"] {
+        if phase == "in_service" {
+            server.back();
+        }
+        let tag = admin.get(&path).await?.etag.ok_or("no tag")?;
+        let body = json!({"address": server.addr, "started_ms": 0, "phase": phase});
+        let put = admin.put(&path, If::Match(&tag), &body).await?;
+        if put.status != 200 {
+            return Err(format!("{:?}", put.body).into());
+        }
+        if phase == "terminating" {
+            server.gone();
+            tokio::time::sleep(pause).await;
+        }
+    }
+    Ok(())
+}
+
 /// One round of the two tenants.
 struct Round {
     quiet: Outcome,
@@ -96,7 +118,15 @@
     for round in 0..rounds {
         for flood in [round % 2 == 0, round % 2 != 0] {
             let (cpu, start) = (site.node.cpu_s()?, Instant::now());
-            let (quiet, flooded) = run(flood, round).await?;
+            // In every round a server of each tenant drains, so that late sends have something to count.
+            let pause = span / 3;
+            let (made, one, two) = tokio::join!(
+                run(flood, round),
+                drains(&site.admin, "quiet", &quiet[0], pause),
+                drains(&site.admin, "flood", &flooded[0], pause),
+            );
+            one.and(two)?;
+            let (quiet, flooded) = made?;
             let node_cores = (site.node.cpu_s()? - cpu) / start.elapsed().as_secs_f64();
             let made = Round { quiet, flood: flooded, node_cores };
             if flood { &mut with } else { &mut without }.push(made);
