Refuse to start with more descriptors than the system gives; mind what a night call finds

Read again as an operator: limits.sockets past the process's own limit would show as accept failing under load; serve and check say both figures now. A new store's name is made durable with its folder. A change of weight reaches the pool's meter, which went on counting by the old one. Two tests waited for a fixed time: they wait for the node not to be ready, and for an answer that does not come.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
-use crate::hosted::config::HostedConfig;
+use crate::hosted::config::{descriptors, HostedConfig};
 use crate::hosted::{self, Addresses};
 use crate::store::embedded::Embedded;
 use crate::{admin, platform};
@@ -41,10 +41,12 @@
     let at = path.display();
     let text = std::fs::read_to_string(path).map_err(|error| format!("{at}: {error}"))?;
     let folder = path.parent().unwrap_or(Path::new(""));
-    HostedConfig::read(&text, folder).map_err(|faults| {
+    let config = HostedConfig::read(&text, folder).map_err(|faults| {
         let lines: Vec<String> = faults.iter().map(|fault| format!("{at}: {fault}")).collect();
-        lines.join("\n").into()
-    })
+        lines.join("\n")
+    })?;
+    descriptors(&config).map_err(|fault| format!("{at}: {fault}"))?;
+    Ok(config)
 }
 
 fn serve(path: &Path) -> Result<(), Box<dyn Error>> {
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -58,6 +58,24 @@
     pub admin: Option<AdminConfig>,
 }
 
+/// Holds the descriptors that a node is to use against those that the system lets it have.
+///
+/// # Errors
+/// Says both figures and what to do. Where the system does not tell, nothing is held against it.
+pub fn descriptors(config: &HostedConfig) -> Result<(), String> {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
+    let soft = line.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok());
+    match soft {
+        Some(soft) if soft < config.sockets => Err(format!(
+            "limits.sockets is {}, but this process may have {soft} files open: raise that (ulimit -n, \
+            LimitNOFILE) or lower limits.sockets",
+            config.sockets
+        )),
+        _ => Ok(()),
+    }
+}
+
 /// A fault of the file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -85,6 +85,8 @@
     service: Option<Rc<Service>>,
     /// To every pool of the tenant that has not ended.
     pools: Vec<mpsc::WeakUnboundedSender<Msg>>,
+    /// Counts the pool's time on the core.
+    meter: Option<Rc<Meter>>,
     /// Drivers that have not ended.
     drivers: Rc<Cell<usize>>,
     used: Cell<Instant>,
@@ -176,6 +178,7 @@
                 quota: RefCell::new(Quota::new(view.spec.quota_per_s, self.bounds.nodes)),
                 service: None,
                 pools: Vec::new(),
+                meter: None,
                 drivers: Rc::default(),
                 used: Cell::new(Instant::now()),
                 view: view.clone(),
@@ -205,6 +208,9 @@
             entry.service = None;
         } else if let Some(service) = &entry.service {
             service.weight.set(new.share.weight);
+            if let Some(meter) = &entry.meter {
+                meter.is_for(uid, new.share.weight);
+            }
         }
         let mut claims = self.claims.borrow_mut();
         claims.extend(claims_of(&entry.view.name, &new).into_iter().map(|(_, claim)| (claim, uid)));
@@ -252,13 +258,14 @@
         let seed = self.seeds.borrow_mut().u64(..);
         let mut driver = Driver::new(&settings, seed, None, servers, None, &tx, Some(meter.clone()));
         driver.start(&list(&entry.view.members));
-        let drivers = entry.drivers.clone();
+        let (drivers, pool_meter) = (entry.drivers.clone(), meter.clone());
         drivers.set(drivers.get() + 1);
         spawn_local(async move {
             metered(Some(meter), driver.run(rx)).await;
             drivers.set(drivers.get() - 1);
         });
         entry.pools.push(tx.downgrade());
+        entry.meter = Some(pool_meter);
         let account = entry.account.clone();
         let service =
             Rc::new(Service { settings, names, orgs: false, tx, account, weight: Cell::new(weight) });
--- a/crates/node/src/store/embedded.rs
+++ b/crates/node/src/store/embedded.rs
@@ -44,7 +44,16 @@
     /// The store in this file, which is made where there is none.
     pub fn file(path: &Path) -> Self {
         let path: PathBuf = path.to_owned();
-        Embedded::with(move || builder().create(&path))
+        Embedded::with(move || {
+            let new = !path.exists();
+            let database = builder().create(&path)?;
+            // A file whose name is not durable is lost with all that was acknowledged in it.
+            if let Some(folder) = path.parent().filter(|_| new) {
+                let folder = if folder.as_os_str().is_empty() { Path::new(".") } else { folder };
+                std::fs::File::open(folder)?.sync_all()?;
+            }
+            Ok(database)
+        })
     }
 
     /// A store on whatever the function opens, each time that it has to be opened.
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -540,9 +540,10 @@
     assert_eq!(site.admin.get("tenants?limit=0").await.unwrap().status, 400);
     assert_eq!(site.admin.get("tenants?page=2").await.unwrap().status, 400);
     let admin = site.admin.clone();
+    // Answered before there is a change, the page would be empty.
     let wait = tokio::spawn(async move { admin.get("changes?after=5").await.unwrap() });
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    assert!(!wait.is_finished());
+    let early = tokio::time::timeout(Duration::from_millis(100), site.admin.get("changes?after=5")).await;
+    assert!(early.is_err(), "{early:?}");
     site.admin.tenant("f", &spec(2_000), &[]).await.unwrap();
     let page = tokio::time::timeout(PATIENCE, wait).await.unwrap().unwrap().body;
     assert_eq!((&page["revision"], &page["changes"][0]["tenant"]), (&json!(6), &json!("f")));
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -171,6 +171,26 @@
     }
 }
 
+// Found out at three in the morning, by accept failing under load, it would be found out too late.
+#[test]
+fn more_descriptors_than_the_system_gives_stop_the_start() {
+    let folder = folder(CONFIG);
+    for word in ["serve", "check"] {
+        let config = folder.path().join("hosted.toml");
+        let line = format!(
+            "ulimit -n 256; exec {} {word} --config {}",
+            env!("CARGO_BIN_EXE_woodgap"),
+            config.display()
+        );
+        let output = Command::new("sh").args(["-c", &line]).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(
+            !output.status.success() && said.contains("limits.sockets is 4096") && said.contains("256"),
+            "{said}"
+        );
+    }
+}
+
 // SIGTERM: what was taken is answered, and the store is free for the next process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sigterm_lets_a_hosted_node_finish() {
@@ -186,7 +206,15 @@
     }
     let pid = node.child.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
-    tokio::time::sleep(Duration::from_millis(200)).await;
+    // It has taken the signal once it is not ready any more.
+    loop {
+        let request = hyper::Request::get("/-/ready").header("host", "x").body(Default::default()).unwrap();
+        let mut connection = woodgap_testkit::client::Connection::open(addr).await.unwrap();
+        if connection.send(request).await.unwrap().status == 503 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     server.does(Does::Serve(Duration::ZERO));
     assert_eq!(running.await.unwrap().unwrap().status, 200);
     assert!(node.child.wait().unwrap().success());
