Watch ephemeral nodes and register as one, over a client library and a fuller stand-in

crates/zookeeper: one thread owns the session; what runs on a connection is dropped with it and starts anew by reading, so that no write is repeated blindly. A pool is read whole and watched with one-shot watches, compared by creation id and version; a registration reads back what a lost answer left.

The stand-in has refusals, cuts before and after a request is carried out, delays, a lost event, restarts with and without data, more addresses, held pings, digest identities and lists of who may do what.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,6 +17,8 @@
 //!   for want of an answer.
 //! - **A restart.** A server with a new start time is another process: cold. One that registers again with the
 //!   start time that it had never stopped, and is as warm as before.
+//! - **One address.** Of two servers at one address the one whose source has the higher rank counts, of equal
+//!   ones the one that started last.
 //! - **Much at once.** Where more than [`Bounds::vanish`] of a source's servers go within a moment, the cause
 //!   is more likely the source's than theirs: the first of them are taken away, the others stay, in doubt,
 //!   for [`Bounds::doubt`]. Who is taken away has been told gone, and gets nothing new.
@@ -40,6 +42,9 @@
     pub name: String,
     /// Of two that list a server, the greater one rules; of equal ones the one added first.
     pub rank: u32,
+    /// It is a list that somebody keeps, not the sign of life of processes: what it takes away is taken away,
+    /// however much at once and however often.
+    pub kept: bool,
 }
 
 /// A server as a source has it.
@@ -202,6 +207,15 @@
         self.views.insert(id, view);
     }
 
+    /// Drops a source with all that it ever told: who was ruled by it is ruled by those that are left.
+    pub fn remove(&mut self, id: SourceId) {
+        self.views.remove(&id);
+        for memory in self.memory.values_mut() {
+            memory.listed.remove(&id);
+        }
+        self.memory.retain(|_, memory| !memory.listed.is_empty());
+    }
+
     /// Takes what a source tells. `unix_ms` is the time of day, for servers whose start nobody knows.
     /// A source that was never added is not heard.
     pub fn told(&mut self, now: Millis, unix_ms: u64, source: SourceId, told: Told) {
@@ -246,7 +260,8 @@
                 None if returned => unix_ms,
                 None => memory.since_ms,
             };
-            if returned && self.bounds.flaps > 0 {
+            let kept = self.views.get(&source).is_some_and(|view| view.source.kept);
+            if returned && self.bounds.flaps > 0 && !kept {
                 let window = self.bounds.flap_window;
                 memory.returns.retain(|at| now.saturating_sub(*at) <= window);
                 memory.returns.push_back(now);
@@ -274,7 +289,7 @@
         }
         let most = match self.bounds.vanish {
             // The same few may go and come back any number of times.
-            all if all >= 1.0 => usize::MAX,
+            all if all >= 1.0 || view.source.kept => usize::MAX,
             part => ((view.before as f64 * part) as usize).max(self.bounds.vanish_least),
         };
         let mut away = Vec::new();
@@ -370,7 +385,29 @@
                 in_service: now >= memory.held_until && !self.views.values().any(drains),
             })
         };
-        self.memory.iter().filter_map(member).collect()
+        let mut members: Vec<Member> = self.memory.iter().filter_map(member).collect();
+        if self.views.len() > 1 {
+            self.one_an_address(&mut members);
+        }
+        members
+    }
+
+    /// Leaves out whoever is at the address of a server that counts for more.
+    fn one_an_address(&self, members: &mut Vec<Member>) {
+        let worth = |member: &Member| {
+            let ruler = self.memory.get(&member.id).and_then(|memory| self.ruler(memory));
+            let rank = ruler.and_then(|id| self.views.get(&id)).map_or(0, |view| view.source.rank);
+            (rank, member.since_ms, Reverse(member.id.clone()))
+        };
+        let mut best: BTreeMap<SocketAddr, (u32, u64, Reverse<String>)> = BTreeMap::new();
+        for member in members.iter() {
+            let worth = worth(member);
+            let held = best.entry(member.address).or_insert_with(|| worth.clone());
+            if worth > *held {
+                *held = worth;
+            }
+        }
+        members.retain(|member| best.get(&member.address).is_some_and(|(.., id)| id.0 == member.id));
     }
 
     /// When the list changes by itself, if it does.
--- a/crates/membership/tests/merge.rs
+++ b/crates/membership/tests/merge.rs
@@ -29,8 +29,8 @@
 /// The platform's list, slow, and ephemeral nodes, which rule.
 fn merge(bounds: Bounds) -> Merge {
     let mut merge = Merge::new(bounds);
-    merge.add(LIST, Source { name: "discovery".into(), rank: 1 });
-    merge.add(NODES, Source { name: "ephemeral".into(), rank: 2 });
+    merge.add(LIST, Source { name: "discovery".into(), rank: 1, kept: false });
+    merge.add(NODES, Source { name: "ephemeral".into(), rank: 2, kept: false });
     merge
 }
 
@@ -153,7 +153,7 @@
     merge.told(2_010, DAY, NODES, gone(20..40));
     assert_eq!(in_service(&mut merge, 2_010), 60);
     let mut merge = Merge::new(Bounds { vanish: 0.25, ..Bounds::default() });
-    merge.add(NODES, Source { name: "ephemeral".into(), rank: 2 });
+    merge.add(NODES, Source { name: "ephemeral".into(), rank: 2, kept: false });
     merge.told(0, DAY, NODES, Told::Full(entries(0..2)));
     merge.told(10, DAY, NODES, gone(0..1));
     assert_eq!(in_service(&mut merge, 10), 1);
@@ -231,7 +231,7 @@
     fn the_list_is_what_the_views_say(story in story()) {
         let mut merge = Merge::new(believing());
         for n in 0..3 {
-            merge.add(SourceId(n), Source { name: n.to_string(), rank: n });
+            merge.add(SourceId(n), Source { name: n.to_string(), rank: n, kept: false });
         }
         // Views: drained or not by server; lost or not; what each ever listed.
         let mut views: Vec<BTreeMap<u16, bool>> = vec![BTreeMap::new(); 3];
@@ -305,3 +305,46 @@
 fn gone_told(n: u16) -> Told {
     gone(n..n + 1)
 }
+
+// An administrator takes ten of twelve away, and a deploy brings and takes the same ones again and again:
+// that is what was meant. The same from a source of sessions is doubted.
+#[test]
+fn a_list_that_somebody_keeps_is_believed_at_once() {
+    let mut merge = Merge::new(Bounds::default());
+    merge.add(LIST, Source { name: "catalogue".into(), rank: 0, kept: true });
+    merge.add(NODES, Source { name: "ephemeral".into(), rank: 1, kept: false });
+    merge.told(0, DAY, LIST, Told::Full(entries(0..12)));
+    merge.told(0, DAY, NODES, Told::Full(entries(20..32)));
+    for round in 1..10 {
+        merge.told(round * 10, DAY, LIST, Told::Full(entries(0..2)));
+        assert_eq!(in_service(&mut merge, round * 10), 14);
+        merge.told(round * 10 + 5, DAY, LIST, Told::Full(entries(0..12)));
+        assert_eq!(in_service(&mut merge, round * 10 + 5), 24);
+    }
+    merge.told(100, DAY, NODES, Told::Full(entries(20..22)));
+    assert_eq!(in_service(&mut merge, 100), 18);
+}
+
+#[test]
+fn of_two_at_one_address_the_better_known_counts() {
+    let mut merge = merge(believing());
+    let renamed = Entry { id: "other".into(), ..entry(1, Some(9)) };
+    merge.told(0, DAY, LIST, Told::Full(entries(0..3)));
+    merge.told(0, DAY, NODES, Told::Full(vec![renamed.clone()]));
+    let ids = |merge: &mut Merge| merge.members(1).into_iter().map(|m| m.id).collect::<Vec<_>>();
+    assert_eq!(ids(&mut merge), ["other", "s-000", "s-002"]);
+    merge.told(1, DAY, NODES, Told::Full(vec![]));
+    assert_eq!(ids(&mut merge), ["s-000", "s-001", "s-002"]);
+}
+
+#[test]
+fn a_source_that_is_dropped_rules_nobody() {
+    let mut merge = merge(believing());
+    merge.told(0, DAY, LIST, Told::Full(entries(0..4)));
+    merge.told(0, DAY, NODES, Told::Full(entries(0..6)));
+    merge.told(1, DAY, NODES, Told::Full(entries(5..6)));
+    assert_eq!(merge.members(1).len(), 1);
+    merge.remove(NODES);
+    assert_eq!(merge.members(2).len(), 4);
+    assert_eq!(merge.status().len(), 1);
+}
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -15,10 +15,12 @@
     Action, Balancer, ClassId, Closed, Discovery, Event, Key, Micros, Outcome, Request, RequestId, ServerId,
     Settings, SyncKind, TenantId, TimerId,
 };
+use woodgap_membership::Told;
 
 use crate::meter::{metered, Meter};
 use crate::peers::Peers;
 use crate::sources::discovery::{watch, List, News};
+use crate::sources::views::{believed, Views, LISTED};
 use crate::task::AbortOnDrop;
 use crate::upstream::exchange::Call;
 use crate::upstream::servers::{Ended, Servers, TIDY};
@@ -136,6 +138,8 @@
     peers: Option<Rc<Peers>>,
     /// `None` where the list comes as [`Msg::Members`].
     discovery: Option<SocketAddr>,
+    /// What discovery told; lists that come as [`Msg::Members`] are merged already.
+    views: Views,
     mode: Discovery,
     max_attempts: usize,
     revision: u64,
@@ -182,6 +186,7 @@
             servers,
             peers,
             discovery,
+            views: Views::new("discovery", believed()),
             mode: settings.discovery,
             max_attempts: settings.max_attempts as usize,
             revision: 0,
@@ -196,6 +201,9 @@
     /// Starts the module with the list that the node last had.
     pub fn start(&mut self, known: &List) {
         self.revision = known.revision.unwrap_or(0);
+        if self.discovery.is_some() {
+            self.views.listed(&List { complete: true, ..known.clone() });
+        }
         let (_, members) = self.servers.apply(known);
         self.events.push_back(Event::Sync { kind: SyncKind::Cached, members });
         self.due.insert(Due::Tidy, TIDY);
@@ -328,10 +336,11 @@
             News::List(list) => {
                 self.revision = list.revision.unwrap_or(self.revision);
                 self.moved = 0;
-                let (kind, members) = self.servers.apply(&list);
+                let (kind, members) = self.servers.apply(&self.views.pass(&list));
                 self.events.push_back(Event::Sync { kind, members });
             }
             News::Failed => {
+                self.views.told(LISTED, Told::Lost);
                 self.watching = None;
                 if self.moved > 0 {
                     self.moved -= 1;
--- a/crates/node/src/sources/mod.rs
+++ b/crates/node/src/sources/mod.rs
@@ -1,3 +1,4 @@
 //! Where lists of servers come from.
 
 pub mod discovery;
+pub mod views;
--- a/crates/testkit/src/coordination/tree.rs
+++ b/crates/testkit/src/coordination/tree.rs
@@ -23,6 +23,8 @@
     BadArguments = -8,
     /// There is no such node.
     NoNode = -101,
+    /// The node's list of who may do what does not name the session.
+    NoAuth = -102,
     /// The node is at another version.
     BadVersion = -103,
     /// Ephemeral nodes have no children.
@@ -33,6 +35,10 @@
     NotEmpty = -111,
     /// The session is over.
     SessionExpired = -112,
+    /// The list of who may do what names nobody.
+    InvalidAcl = -114,
+    /// There is no such watch.
+    NoWatcher = -121,
 }
 
 /// What is known of a node beside its data.
@@ -60,9 +66,36 @@
     pub children: i32,
 }
 
+/// What may be done to a node (`ZooDefs.Perms`).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(i32)]
+pub enum Perm {
+    /// Reading its data and children.
+    Read = 1,
+    /// Writing its data.
+    Write = 2,
+    /// Creating children.
+    Create = 4,
+    /// Deleting children.
+    Delete = 8,
+}
+
+/// Who may do what to a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Acl {
+    /// Bits of [`Perm`].
+    pub perms: i32,
+    /// `world`, `digest`, or `auth` for whoever creates the node.
+    pub scheme: String,
+    /// `anyone`, or `USER:HASH`.
+    pub id: String,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Node {
     data: Vec<u8>,
+    /// Empty: anyone may do anything.
+    acl: Vec<Acl>,
     stat: Stat,
     children: BTreeSet<String>,
 }
@@ -85,6 +118,8 @@
         path: String,
         /// With what.
         data: Vec<u8>,
+        /// Who may do what to it; empty for anyone and anything.
+        acl: Vec<Acl>,
         /// How.
         mode: Mode,
     },
@@ -165,6 +200,8 @@
     password: [u8; 16],
     timeout: Millis,
     heard: Millis,
+    /// Identities of the `digest` scheme that it has shown on its present connection.
+    ids: BTreeSet<String>,
 }
 
 /// All of it.
@@ -174,13 +211,14 @@
     zxid: i64,
     sessions: BTreeMap<i64, Session>,
     next_session: i64,
+    /// Tells apart services that were started with nothing: what they open is strange to one another.
+    incarnation: u16,
     watches: BTreeSet<(String, Watch, i64)>,
 }
 
 impl Default for Tree {
     fn default() -> Self {
-        let nodes = BTreeMap::from([("/".to_owned(), Node::default())]);
-        Tree { nodes, zxid: 0, sessions: BTreeMap::new(), next_session: 0x1_0000, watches: BTreeSet::new() }
+        Tree::new(0)
     }
 }
 
@@ -197,6 +235,19 @@
 }
 
 impl Tree {
+    /// The root alone. Sessions of one incarnation are not known to another.
+    pub fn new(incarnation: u16) -> Self {
+        let next_session = (i64::from(incarnation) + 1) << 32;
+        let nodes = BTreeMap::from([("/".to_owned(), Node::default())]);
+        let (sessions, watches) = (BTreeMap::new(), BTreeSet::new());
+        Tree { nodes, zxid: 0, sessions, next_session, incarnation, watches }
+    }
+
+    /// Which incarnation it is.
+    pub fn incarnation(&self) -> u16 {
+        self.incarnation
+    }
+
     /// The number of the last change.
     pub fn zxid(&self) -> i64 {
         self.zxid
@@ -212,7 +263,7 @@
         let mut password = [0; 16];
         password[..8].copy_from_slice(&(id.wrapping_mul(0x5851_F42D_4C95_7F2D)).to_be_bytes());
         let timeout = timeout.clamp(TIMEOUTS.0, TIMEOUTS.1);
-        self.sessions.insert(id, Session { password, timeout, heard: now });
+        self.sessions.insert(id, Session { password, timeout, heard: now, ids: BTreeSet::new() });
         (id, password, timeout)
     }
 
@@ -221,6 +272,7 @@
     pub fn reattach(&mut self, now: Millis, id: i64, password: &[u8]) -> Option<Millis> {
         let session = self.sessions.get_mut(&id).filter(|session| session.password == password)?;
         session.heard = now;
+        session.ids.clear();
         Some(session.timeout)
     }
 
@@ -229,8 +281,41 @@
         self.sessions.get_mut(&id).map(|session| session.heard = now).is_some()
     }
 
+    /// Takes an identity of the `digest` scheme that a session has shown.
+    pub fn authenticate(&mut self, id: i64, identity: String) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.ids.insert(identity);
+        }
+    }
+
+    /// Sessions that are not over.
+    pub fn sessions(&self) -> impl Iterator<Item = i64> + '_ {
+        self.sessions.keys().copied()
+    }
+
+    /// Every session is as if just heard of: what a service does that starts again with its data.
+    pub fn hear_all(&mut self, now: Millis) {
+        self.sessions.values_mut().for_each(|session| session.heard = session.heard.max(now));
+        self.watches.clear();
+    }
+
+    /// Whether a session may do this to a node; a node that is not there forbids nothing.
+    ///
+    /// # Errors
+    /// [`Code::NoAuth`].
+    pub fn may(&self, session: i64, path: &str, perm: Perm) -> Result<(), Code> {
+        let Some(node) = self.nodes.get(path).filter(|node| !node.acl.is_empty()) else { return Ok(()) };
+        let ids = self.sessions.get(&session).map(|session| &session.ids);
+        let names = |acl: &Acl| match acl.scheme.as_str() {
+            "world" => acl.id == "anyone",
+            _ => ids.is_some_and(|ids| ids.contains(&acl.id)),
+        };
+        let may = node.acl.iter().any(|acl| acl.perms & perm as i32 != 0 && names(acl));
+        may.then_some(()).ok_or(Code::NoAuth)
+    }
+
     /// Ends a session, by its own wish or another's: its nodes go, its watches are dropped.
-    pub fn end(&mut self, now: Millis, id: i64) -> Vec<Event> {
+    pub fn end(&mut self, id: i64) -> Vec<Event> {
         if self.sessions.remove(&id).is_none() {
             return Vec::new();
         }
@@ -241,7 +326,7 @@
         let mut events = Vec::new();
         for path in theirs {
             // An ephemeral node has no children, so nothing stands against it.
-            if let Ok((_, told)) = self.one(now, id, &Op::Delete { path, version: -1 }) {
+            if let Ok((_, told)) = self.delete(&path, -1) {
                 events.extend(told);
             }
         }
@@ -304,23 +389,18 @@
     /// One change under the present number, and what watches are to hear of it.
     fn one(&mut self, now: Millis, session: i64, op: &Op) -> Result<(Done, Vec<(Kind, String)>), Code> {
         match op {
-            Op::Create { path, data, mode } => self.create(now, session, path, data, *mode),
+            Op::Create { path, data, acl, mode } => self.create(now, session, path, data, acl, *mode),
             Op::Delete { path, version } => {
-                self.at(path, *version)?;
-                let (parent, name) = split(path).filter(|_| path != "/").ok_or(Code::BadArguments)?;
-                if !self.nodes[path].children.is_empty() {
-                    return Err(Code::NotEmpty);
-                }
-                self.nodes.remove(path);
-                self.child(parent, name, false);
-                let parent = parent.to_owned();
-                Ok((Done::Deleted, vec![(Kind::Deleted, path.clone()), (Kind::ChildrenChanged, parent)]))
+                let (parent, _) = split(path).ok_or(Code::BadArguments)?;
+                self.may(session, parent, Perm::Delete)?;
+                self.delete(path, *version)
             }
             Op::Set { path, data, version } => {
                 if data.len() > LONGEST_DATA {
                     return Err(Code::BadArguments);
                 }
                 let zxid = self.zxid;
+                self.may(session, path, Perm::Write)?;
                 let node = self.at(path, *version)?;
                 node.data.clone_from(data);
                 (node.stat.mzxid, node.stat.mtime) = (zxid, now);
@@ -332,15 +412,45 @@
         }
     }
 
+    fn delete(&mut self, path: &str, version: i32) -> Result<(Done, Vec<(Kind, String)>), Code> {
+        self.at(path, version)?;
+        let (parent, name) = split(path).filter(|_| path != "/").ok_or(Code::BadArguments)?;
+        if !self.nodes[path].children.is_empty() {
+            return Err(Code::NotEmpty);
+        }
+        self.nodes.remove(path);
+        self.child(parent, name, false);
+        let (path, parent) = (path.to_owned(), parent.to_owned());
+        Ok((Done::Deleted, vec![(Kind::Deleted, path), (Kind::ChildrenChanged, parent)]))
+    }
+
+    /// A list as the node keeps it: `auth` stands for what the session has shown.
+    fn acl(&self, session: i64, acl: &[Acl]) -> Result<Vec<Acl>, Code> {
+        let mut kept = Vec::new();
+        for one in acl {
+            if one.scheme != "auth" {
+                kept.push(one.clone());
+                continue;
+            }
+            let ids = self.sessions.get(&session).map(|session| &session.ids).filter(|ids| !ids.is_empty());
+            let owner = |id: &String| Acl { perms: one.perms, scheme: "digest".into(), id: id.clone() };
+            kept.extend(ids.ok_or(Code::InvalidAcl)?.iter().map(owner));
+        }
+        Ok(kept)
+    }
+
     fn create(
         &mut self,
         now: Millis,
         session: i64,
         path: &str,
         data: &[u8],
+        acl: &[Acl],
         mode: Mode,
     ) -> Result<(Done, Vec<(Kind, String)>), Code> {
         let (parent, _) = split(path).ok_or(Code::BadArguments)?;
+        let acl = self.acl(session, acl)?;
+        self.may(session, parent, Perm::Create)?;
         let above = self.nodes.get(parent).ok_or(Code::NoNode)?;
         if above.stat.ephemeral_owner != 0 {
             return Err(Code::NoChildrenForEphemerals);
@@ -368,7 +478,7 @@
             data_length: data.len() as i32,
             ..Stat::default()
         };
-        self.nodes.insert(path.clone(), Node { data: data.to_vec(), stat, children: BTreeSet::new() });
+        self.nodes.insert(path.clone(), Node { data: data.to_vec(), acl, stat, children: BTreeSet::new() });
         self.child(&parent, &name, true);
         let events = vec![(Kind::Created, path.clone()), (Kind::ChildrenChanged, parent)];
         Ok((Done::Created(path, stat), events))
@@ -419,6 +529,24 @@
         self.watches.insert((path.to_owned(), watch, session));
     }
 
+    /// Whether a session watches a path, in this way or in any.
+    pub fn is_watched(&self, session: i64, watch: Option<Watch>, path: &str) -> bool {
+        let ways = [Watch::Data, Watch::Children].into_iter().filter(|one| watch.is_none_or(|w| w == *one));
+        ways.into_iter().any(|one| self.watches.contains(&(path.to_owned(), one, session)))
+    }
+
+    /// Takes a session's watches of this kind off a path, of all kinds for `None`.
+    ///
+    /// # Errors
+    /// [`Code::NoWatcher`] where there is none.
+    pub fn unwatch(&mut self, session: i64, watch: Option<Watch>, path: &str) -> Result<(), Code> {
+        let mut removed = false;
+        for one in [Watch::Data, Watch::Children].into_iter().filter(|one| watch.is_none_or(|w| w == *one)) {
+            removed |= self.watches.remove(&(path.to_owned(), one, session));
+        }
+        removed.then_some(()).ok_or(Code::NoWatcher)
+    }
+
     /// Watches that are set.
     pub fn watches(&self) -> usize {
         self.watches.len()
--- a/crates/testkit/src/coordination/wire.rs
+++ b/crates/testkit/src/coordination/wire.rs
@@ -1,7 +1,7 @@
 //! The service on its wire: jute records in frames with a length of four bytes before them, as the public
 //! protocol files (`zookeeper.jute`) describe them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use super::tree::{Code, Done, Event, Mode, Op, Stat, Tree, Watch};
+use super::tree::{Acl, Code, Done, Event, Mode, Op, Perm, Stat, Tree, Watch};
 
 /// Bytes of a frame, at most.
 const LONGEST_FRAME: usize = 4 << 20;
@@ -115,25 +115,82 @@
     }
 }
 
-type Out = mpsc::UnboundedSender<Vec<u8>>;
+/// Frames for a connection, with the time at which each was ready.
+type Out = mpsc::UnboundedSender<(Instant, Vec<u8>)>;
+
+/// Where a connection is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// After a request was read, before it is carried out.
+    Unseen,
+    /// After a request was carried out, before it is answered.
+    Unanswered,
+}
+
+/// Types of requests (`ZooDefs.OpCode`), for [`Coordination::cut`] and [`Coordination::requests`].
+pub mod op {
+    /// `create2`, what a client of version 3.5 or later sends to create.
+    pub const CREATE: i32 = 15;
+    /// `delete`.
+    pub const DELETE: i32 = 2;
+    /// `getData`.
+    pub const GET_DATA: i32 = 4;
+    /// `setData`.
+    pub const SET_DATA: i32 = 5;
+    /// `multi`.
+    pub const MULTI: i32 = 14;
+}
+
+/// What is wrong for as long as it is set.
+#[derive(Clone, Copy, Debug, Default)]
+struct Wrong {
+    /// Nothing is answered or told.
+    silent: bool,
+    /// All that goes out does so this much later.
+    delay: Duration,
+}
+
+/// Where a session is connected.
+struct On {
+    /// Which connection: new with each.
+    number: u64,
+    /// Through which address.
+    door: SocketAddr,
+    out: Out,
+}
 
 #[derive(Default)]
 struct State {
     tree: Tree,
-    /// The connection that each session is on, by a number that is new with each.
-    on: HashMap<i64, (u64, Out)>,
+    on: HashMap<i64, On>,
     connections: u64,
+    /// Addresses that take no connections.
+    refused: HashSet<SocketAddr>,
+    cut: Option<(i32, Cut)>,
+    /// The next event is lost, with the connection that it was for.
+    lose_event: bool,
+    /// Answers to pings that are held, while they are.
+    held_pings: Option<Vec<(i64, Vec<u8>)>>,
+    requests: HashMap<i32, u64>,
+    events: u64,
 }
 
 impl State {
-    fn tell(&self, events: Vec<Event>) {
+    fn send(&self, session: i64, frame: Vec<u8>) -> bool {
+        self.on.get(&session).is_some_and(|on| on.out.send((Instant::now(), frame)).is_ok())
+    }
+
+    fn tell(&mut self, events: Vec<Event>) {
         for Event { session, kind, path } in events {
+            if self.lose_event && self.on.remove(&session).is_some() {
+                self.lose_event = false;
+                continue;
+            }
+            self.events += 1;
             let header = Record::default().int(XID_EVENT).long(-1).int(0);
             // State 3 is SyncConnected.
             let frame = header.int(kind as i32).int(3).buffer(path.as_bytes()).framed();
-            if let Some((_, out)) = self.on.get(&session) {
-                let _ = out.send(frame);
-            }
+            self.send(session, frame);
         }
     }
 }
@@ -141,8 +198,7 @@
 struct Shared {
     state: Mutex<State>,
     start: Instant,
-    /// It answers nothing while this is set.
-    silent: watch::Sender<bool>,
+    wrong: watch::Sender<Wrong>,
 }
 
 impl Shared {
@@ -154,23 +210,24 @@
         self.start.elapsed().as_millis() as i64
     }
 
-    fn end(&self, session: i64) {
-        let now = self.now();
+    fn end(&self, sessions: &[i64]) {
         self.with(|state| {
-            let events = state.tree.end(now, session);
-            // Its connection ends with the sender.
-            state.on.remove(&session);
-            state.tell(events);
+            for &session in sessions {
+                let events = state.tree.end(session);
+                // Its connection ends with the sender.
+                state.on.remove(&session);
+                state.tell(events);
+            }
         });
     }
 }
 
-/// The service on a loopback port, until it is dropped.
+/// The service on loopback ports, until it is dropped.
 pub struct Coordination {
-    /// Where it listens.
+    /// Where it listens first of all.
     pub addr: SocketAddr,
     shared: Arc<Shared>,
-    tasks: [JoinHandle<()>; 2],
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Drop for Coordination {
@@ -179,6 +236,24 @@
     }
 }
 
+fn open(shared: &Arc<Shared>, listener: TcpListener, door: SocketAddr) -> JoinHandle<()> {
+    let accepts = shared.clone();
+    tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        loop {
+            tokio::select! {
+                Ok((stream, _)) = listener.accept() => {
+                    let shared = accepts.clone();
+                    if !shared.with(|state| state.refused.contains(&door)) {
+                        connections.spawn(async move { drop(serve(shared, stream, door).await) });
+                    }
+                }
+                Some(_) = connections.join_next() => {}
+            }
+        }
+    })
+}
+
 impl Coordination {
     /// Starts with an empty tree.
     ///
@@ -187,31 +262,30 @@
     pub async fn start(listen: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let addr = listener.local_addr()?;
-        let (silent, _) = watch::channel(false);
-        let shared = Arc::new(Shared { state: Mutex::default(), start: Instant::now(), silent });
-        let (accepts, looks) = (shared.clone(), shared.clone());
-        let accept = tokio::spawn(async move {
-            let mut connections = tokio::task::JoinSet::new();
-            loop {
-                tokio::select! {
-                    Ok((stream, _)) = listener.accept() => {
-                        let shared = accepts.clone();
-                        connections.spawn(async move { drop(serve(shared, stream).await) });
-                    }
-                    Some(_) = connections.join_next() => {}
-                }
-            }
-        });
+        let (wrong, _) = watch::channel(Wrong::default());
+        let shared = Arc::new(Shared { state: Mutex::default(), start: Instant::now(), wrong });
+        let accept = open(&shared, listener, addr);
+        let looks = shared.clone();
         let look = tokio::spawn(async move {
             loop {
                 tokio::time::sleep(LOOK).await;
                 let now = looks.now();
-                for session in looks.with(|state| state.tree.overdue(now)) {
-                    looks.end(session);
-                }
+                let overdue = looks.with(|state| state.tree.overdue(now));
+                looks.end(&overdue);
             }
         });
-        Ok(Coordination { addr, shared, tasks: [accept, look] })
+        Ok(Coordination { addr, shared, tasks: vec![accept, look] })
+    }
+
+    /// Listens at one more address, as another member of the ensemble would: same tree, same sessions.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn also(&mut self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let addr = listener.local_addr()?;
+        self.tasks.push(open(&self.shared, listener, addr));
+        Ok(addr)
     }
 
     /// The sessions that own ephemeral nodes under a path, by the nodes' names.
@@ -226,9 +300,38 @@
         })
     }
 
+    /// A node's data and version.
+    pub fn node(&self, path: &str) -> Option<(Vec<u8>, Stat)> {
+        self.shared.with(|state| state.tree.get(path).ok().map(|(data, stat)| (data.to_vec(), stat)))
+    }
+
+    /// Changes the tree as a session of the service's own: what a test's servers and operators do.
+    ///
+    /// # Errors
+    /// As [`Tree::change`].
+    pub fn change(&self, session: i64, change: &Op) -> Result<Done, Code> {
+        let now = self.shared.now();
+        self.shared.with(|state| {
+            let (done, events) = state.tree.change(now, session, change)?;
+            state.tell(events);
+            Ok(done)
+        })
+    }
+
+    /// Opens a session that is on no connection and lasts until it is ended.
+    pub fn session(&self) -> i64 {
+        // Heard of last in a time far away.
+        self.shared.with(|state| state.tree.open(i64::MAX / 2, 0).0)
+    }
+
     /// Ends a session, as its time-out would.
     pub fn end_session(&self, session: i64) {
-        self.shared.end(session);
+        self.shared.end(&[session]);
+    }
+
+    /// Ends many sessions at one moment.
+    pub fn end_sessions(&self, sessions: &[i64]) {
+        self.shared.end(sessions);
     }
 
     /// Ends every connection; sessions go on, and may be taken up again.
@@ -241,9 +344,85 @@
         self.shared.with(|state| state.on.keys().copied().collect())
     }
 
+    /// Through which address a session is connected.
+    pub fn door(&self, session: i64) -> Option<SocketAddr> {
+        self.shared.with(|state| state.on.get(&session).map(|on| on.door))
+    }
+
     /// Answers nothing from now on, or again; connections stay open.
     pub fn silent(&self, silent: bool) {
-        self.shared.silent.send_replace(silent);
+        self.shared.wrong.send_modify(|wrong| wrong.silent = silent);
+    }
+
+    /// All that goes out, events among it and in its order, does so this much later.
+    pub fn delay(&self, delay: Duration) {
+        self.shared.wrong.send_modify(|wrong| wrong.delay = delay);
+    }
+
+    /// Takes no connections at an address from now on, and ends those it has; or takes them again. A
+    /// session may go on at another address.
+    pub fn refuse(&self, addr: SocketAddr, refuse: bool) {
+        self.shared.with(|state| {
+            if refuse {
+                state.refused.insert(addr);
+                state.on.retain(|_, on| on.door != addr);
+            } else {
+                state.refused.remove(&addr);
+            }
+        });
+    }
+
+    /// Cuts the connection on which the next request of this type comes ([`op`]).
+    pub fn cut(&self, kind: i32, cut: Cut) {
+        self.shared.with(|state| state.cut = Some((kind, cut)));
+    }
+
+    /// Whether a [`Coordination::cut`] still waits for its request.
+    pub fn is_cut_due(&self) -> bool {
+        self.shared.with(|state| state.cut.is_some())
+    }
+
+    /// Loses the next event, with the connection that it was for: the only way in which the protocol
+    /// allows for one to be lost.
+    pub fn lose_event(&self) {
+        self.shared.with(|state| state.lose_event = true);
+    }
+
+    /// Holds the answers to pings, or lets go of those that are held.
+    pub fn hold_pings(&self, hold: bool) {
+        self.shared.with(|state| {
+            let held = std::mem::replace(&mut state.held_pings, hold.then(Vec::new));
+            for (session, frame) in held.into_iter().flatten() {
+                state.send(session, frame);
+            }
+        });
+    }
+
+    /// Starts again, with its data and sessions or with nothing.
+    pub fn restart(&self, with_data: bool) {
+        let now = self.shared.now();
+        self.shared.with(|state| {
+            state.on.clear();
+            match with_data {
+                true => state.tree.hear_all(now),
+                false => state.tree = Tree::new(state.tree.incarnation() + 1),
+            }
+        });
+    }
+
+    /// Requests of a type that were carried out or refused so far.
+    pub fn requests(&self, kind: i32) -> u64 {
+        self.shared.with(|state| state.requests.get(&kind).copied().unwrap_or(0))
+    }
+
+    /// Events that went out so far.
+    pub fn events(&self) -> u64 {
+        self.shared.with(|state| state.events)
+    }
+
+    /// Watches that are set.
+    pub fn watches(&self) -> usize {
+        self.shared.with(|state| state.tree.watches())
     }
 }
 
@@ -257,31 +436,36 @@
     Ok(frame)
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream) -> io::Result<()> {
+async fn serve(shared: Arc<Shared>, stream: TcpStream, door: SocketAddr) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut input, mut output) = stream.into_split();
     let first = frame(&mut input).await?;
+    let mut wrong = shared.wrong.subscribe();
+    let _ = wrong.wait_for(|wrong| !wrong.silent).await;
     let bad = || io::Error::other("no connect request");
     let mut fields = Fields(&first);
     let asked = (|| Some((fields.int()?, fields.long()?, fields.int()?, fields.long()?, fields.buffer()?)))();
-    let (_, _, timeout, id, password) = asked.ok_or_else(bad)?;
-    let mut silent = shared.silent.subscribe();
+    let (_, seen, timeout, id, password) = asked.ok_or_else(bad)?;
     let now = shared.now();
-    let (out, mut frames) = mpsc::unbounded_channel::<Vec<u8>>();
+    let (out, mut frames) = mpsc::unbounded_channel();
     let opened = shared.with(|state| {
+        if state.refused.contains(&door) || seen > state.tree.zxid() {
+            // Who has seen more than there is here is sent on to another member.
+            return Err(bad());
+        }
         let opened = match id {
             0 => Some(state.tree.open(now, i64::from(timeout))),
             id => {
                 state.tree.reattach(now, id, password).and_then(|t| Some((id, password.try_into().ok()?, t)))
             }
         };
-        opened.map(|opened| {
+        Ok(opened.map(|opened| {
             state.connections += 1;
             // A session is on one connection: the one before it ends with its sender.
-            state.on.insert(opened.0, (state.connections, out));
+            state.on.insert(opened.0, On { number: state.connections, door, out });
             (opened, state.connections)
-        })
-    });
+        }))
+    })?;
     let reply = |timeout: i64, id: i64, password: [u8; 16]| {
         Record::default().int(0).int(timeout as i32).long(id).buffer(&password).bool(false).framed()
     };
@@ -290,17 +474,22 @@
         return output.write_all(&reply(0, 0, [0; 16])).await;
     };
     output.write_all(&reply(timeout, session, password)).await?;
+    let mut heard = wrong.clone();
     let reads = async {
         loop {
             let request = frame(&mut input).await?;
-            let _ = silent.wait_for(|silent| !silent).await;
-            if !answer(&shared, session, &request) {
+            let _ = heard.wait_for(|wrong| !wrong.silent).await;
+            if !answer(&shared, session, number, &request) {
                 return Ok::<_, io::Error>(());
             }
         }
     };
     let writes = async {
-        while let Some(frame) = frames.recv().await {
+        while let Some((ready, frame)) = frames.recv().await {
+            let delay = wrong.wait_for(|wrong| !wrong.silent).await.map_or(Duration::ZERO, |w| w.delay);
+            if !delay.is_zero() {
+                tokio::time::sleep_until((ready + delay).into()).await;
+            }
             output.write_all(&frame).await?;
         }
         Ok::<_, io::Error>(())
@@ -310,11 +499,11 @@
         ended = writes => ended,
     };
     // What was answered last still goes out.
-    while let Ok(frame) = frames.try_recv() {
+    while let Ok((_, frame)) = frames.try_recv() {
         output.write_all(&frame).await?;
     }
     shared.with(|state| {
-        if state.on.get(&session).is_some_and(|(on, _)| *on == number) {
+        if state.on.get(&session).is_some_and(|on| on.number == number) {
             state.on.remove(&session);
         }
     });
@@ -323,24 +512,36 @@
 
 /// Answers a request; `false` ends the connection. All that it changes, what others hear of it and its own
 /// answer are in order: one lock holds them.
-fn answer(shared: &Shared, session: i64, request: &[u8]) -> bool {
+fn answer(shared: &Shared, session: i64, number: u64, request: &[u8]) -> bool {
     let now = shared.now();
     let mut fields = Fields(request);
     let (Some(xid), Some(kind)) = (fields.int(), fields.int()) else { return false };
     let mut ended = false;
     let go_on = shared.with(|state| {
-        if !state.tree.heard(now, session) {
+        // Moved to another connection meanwhile, or over.
+        let here = state.on.get(&session).is_some_and(|on| on.number == number);
+        if !here || !state.tree.heard(now, session) {
+            return false;
+        }
+        let cut = state.cut.take_if(|(of, _)| *of == kind).map(|(_, cut)| cut);
+        if cut == Some(Cut::Unseen) {
+            state.on.remove(&session);
             return false;
         }
+        *state.requests.entry(kind).or_default() += 1;
         let result = match kind {
-            // Ping and auth: every identity may do everything here.
-            11 | 100 => Ok(Record::default()),
+            11 => Ok(Record::default()),
+            100 => auth(state, session, fields),
             -11 => {
                 ended = true;
                 Ok(Record::default())
             }
             _ => carry_out(state, now, session, kind, fields),
         };
+        if cut == Some(Cut::Unanswered) {
+            state.on.remove(&session);
+            return false;
+        }
         let zxid = state.tree.zxid();
         let frame = match result {
             Ok(record) => {
@@ -350,26 +551,45 @@
             }
             Err(code) => Record::default().int(xid).long(zxid).int(code).framed(),
         };
-        state.on.get(&session).is_some_and(|(_, out)| out.send(frame).is_ok())
+        if let Some(held) = state.held_pings.as_mut().filter(|_| kind == 11) {
+            held.push((session, frame));
+            return true;
+        }
+        state.send(session, frame)
     });
     if ended {
-        shared.end(session);
+        shared.end(&[session]);
     }
     go_on && !ended
 }
 
+/// An identity that a client shows. Of the schemes only `digest` is known: `USER:base64(sha1(USER:PASSWORD))`
+/// is what a list names then.
+fn auth(state: &mut State, session: i64, mut fields: Fields<'_>) -> Result<Record, i32> {
+    use base64::Engine;
+    use sha1::Digest;
+    const AUTH_FAILED: i32 = -115;
+    let shown = (|| Some((fields.int()?, fields.text()?, fields.text()?)))();
+    let (_, scheme, secret) = shown.ok_or(UNREADABLE)?;
+    let (user, _) = secret.split_once(':').filter(|_| scheme == "digest").ok_or(AUTH_FAILED)?;
+    let hash = base64::engine::general_purpose::STANDARD.encode(sha1::Sha1::digest(secret.as_bytes()));
+    state.tree.authenticate(session, format!("{user}:{hash}"));
+    Ok(Record::default())
+}
+
 /// A change by its type.
-fn op(kind: i32, fields: &mut Fields<'_>) -> Option<Op> {
+fn change(kind: i32, fields: &mut Fields<'_>) -> Option<Op> {
     Some(match kind {
         1 | 15 => {
             let (path, data) = (fields.text()?, fields.buffer()?.to_vec());
-            for _ in 0..fields.int()?.max(0) {
-                fields.int()?;
-                fields.buffer()?;
-                fields.buffer()?;
-            }
-            let flags = fields.int()?;
-            Op::Create { path, data, mode: Mode { ephemeral: flags & 1 != 0, sequential: flags & 2 != 0 } }
+            let entries = fields.int()?.max(0);
+            let mut entry = || Some(Acl { perms: fields.int()?, scheme: fields.text()?, id: fields.text()? });
+            let acl = (0..entries).map(|_| entry()).collect::<Option<Vec<Acl>>>()?;
+            // Persistent, ephemeral, and either with a number; containers and nodes with a time to live are
+            // no part of what stands in here.
+            let flags = fields.int().filter(|flags| (0..4).contains(flags))?;
+            let mode = Mode { ephemeral: flags & 1 != 0, sequential: flags & 2 != 0 };
+            Op::Create { path, data, acl, mode }
         }
         2 => Op::Delete { path: fields.text()?, version: fields.int()? },
         5 => Op::Set { path: fields.text()?, data: fields.buffer()?.to_vec(), version: fields.int()? },
@@ -389,13 +609,17 @@
     let record = Record::default();
     match kind {
         1 | 2 | 5 | 13 | 15 => {
-            let op = op(kind, &mut fields).ok_or(UNREADABLE)?;
+            let op = change(kind, &mut fields).ok_or(UNREADABLE)?;
             let (done, events) = state.tree.change(now, session, &op).map_err(code)?;
             state.tell(events);
             Ok(record.done(&done, kind == 15))
         }
         3 | 4 | 8 | 12 => {
             let (path, watch) = (fields.text().ok_or(UNREADABLE)?, fields.bool().ok_or(UNREADABLE)?);
+            // Whether a node is there is no secret.
+            if kind != 3 {
+                state.tree.may(session, &path, Perm::Read).map_err(code)?;
+            }
             let result = match kind {
                 3 => state.tree.get(&path).map(|(_, stat)| record.stat(&stat)),
                 4 => state.tree.get(&path).map(|(data, stat)| record.buffer(data).stat(&stat)),
@@ -410,6 +634,23 @@
             result.map_err(code)
         }
         9 => fields.buffer().map(|path| record.buffer(path)).ok_or(UNREADABLE),
+        // checkWatches and removeWatches.
+        17 | 18 => {
+            let (path, of) = (fields.text().ok_or(UNREADABLE)?, fields.int().ok_or(UNREADABLE)?);
+            let watch = match of {
+                1 => Some(Watch::Children),
+                2 => Some(Watch::Data),
+                3 => None,
+                _ => return Err(Code::BadArguments as i32),
+            };
+            if !state.tree.is_watched(session, watch, &path) {
+                return Err(Code::NoWatcher as i32);
+            }
+            if kind == 18 {
+                state.tree.unwatch(session, watch, &path).map_err(code)?;
+            }
+            Ok(record)
+        }
         14 => multi(state, now, session, fields),
         101 => set_watches(state, session, fields).map(|()| record).ok_or(UNREADABLE),
         _ => Err(UNIMPLEMENTED),
@@ -425,7 +666,7 @@
             break;
         }
         kinds.push(kind);
-        ops.push(op(kind, &mut fields).ok_or(UNREADABLE)?);
+        ops.push(change(kind, &mut fields).ok_or(UNREADABLE)?);
     }
     let record = match state.tree.multi(now, session, &ops) {
         Ok((done, events)) => {
--- a/crates/testkit/tests/tree.rs
+++ b/crates/testkit/tests/tree.rs
@@ -3,7 +3,7 @@
 use woodgap_testkit::coordination::tree::*;
 
 fn create(path: &str, mode: Mode) -> Op {
-    Op::Create { path: path.into(), data: b"x".to_vec(), mode }
+    Op::Create { path: path.into(), data: b"x".to_vec(), acl: Vec::new(), mode }
 }
 
 const PLAIN: Mode = Mode { ephemeral: false, sequential: false };
@@ -34,7 +34,7 @@
     tree.heard(5_000, watcher);
     assert!(tree.overdue(5_999).is_empty());
     assert_eq!(tree.overdue(6_000), [server]);
-    let events = tree.end(6_000, server);
+    let events = tree.end(server);
     assert_eq!(events, [changed("/pool/s1", Kind::Deleted), changed("/pool", Kind::ChildrenChanged)]);
     assert_eq!((tree.children("/pool").unwrap().0.len(), tree.watches()), (0, 0));
     assert_eq!(tree.change(7_000, server, &create("/late", PLAIN)), Err(Code::SessionExpired));
@@ -48,7 +48,7 @@
     assert_eq!(tree.reattach(3_000, id, &password), Some(timeout));
     assert!(tree.overdue(6_000).is_empty());
     assert_eq!(tree.reattach(3_000, id, &[0; 16]), None);
-    tree.end(3_000, id);
+    tree.end(id);
     assert_eq!(tree.reattach(3_001, id, &password), None);
 }
 
--- /dev/null
+++ b/crates/zookeeper/src/pool.rs
@@ -0,0 +1,136 @@
+//! The servers that registered under a path, read whole and then watched.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::Instant;
+use woodgap_membership::Told;
+use zookeeper_client::{Error, EventType, WatchedEvent};
+
+use crate::session::{Link, Running, Work};
+use crate::view::{News, View};
+
+/// Two rounds of reads of a path are at least this far apart: children that come and go faster are read
+/// together.
+pub const PACE: Duration = Duration::from_millis(20);
+/// Reads that are out at a time.
+const MOST_READS: usize = 256;
+
+type Tell = Box<dyn Fn(News) + Send + Sync>;
+
+/// A path whose children are servers.
+pub struct Pool {
+    path: String,
+    view: Mutex<View>,
+    tell: Tell,
+}
+
+impl Pool {
+    /// The servers under a path. `tell` hears of what is new, on the session's thread: it must not block.
+    pub fn new(path: String, tell: impl Fn(News) + Send + Sync + 'static) -> Arc<Self> {
+        Arc::new(Pool { path, view: Mutex::default(), tell: Box::new(tell) })
+    }
+
+    fn view<T>(&self, look: impl FnOnce(&mut View) -> T) -> T {
+        look(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Reads and watches until the connection fails.
+    async fn follow(&self, link: &Link) -> Result<(), Error> {
+        let client = &link.client;
+        let child = |name: &str| format!("{}/{name}", self.path);
+        // What a watch was on: the path itself, or a child.
+        let mut watches: JoinSet<(Option<String>, WatchedEvent)> = JoinSet::new();
+        let mut set: HashMap<String, AbortHandle> = HashMap::new();
+        let (mut list, mut read, mut first) = (true, BTreeSet::new(), true);
+        loop {
+            let round = Instant::now();
+            if list {
+                let (names, watcher) = match client.list_and_watch_children(&self.path).await {
+                    Ok((names, watcher)) => (names, watcher),
+                    Err(Error::NoNode) => {
+                        // Watched for its coming; if it came meanwhile, it is listed after all.
+                        let (stat, watcher) = client.check_and_watch_stat(&self.path).await?;
+                        if stat.is_some() {
+                            continue;
+                        }
+                        (Vec::new(), watcher)
+                    }
+                    Err(error) => return Err(error),
+                };
+                watches.spawn(async move { (None, watcher.changed().await) });
+                let names = self.view(|view| view.list(names));
+                set.retain(|name, watch| {
+                    let stays = names.contains(name);
+                    if !stays {
+                        watch.abort();
+                    }
+                    stays
+                });
+                read.extend(names.into_iter().filter(|name| !set.contains_key(name)));
+                list = false;
+            }
+            let due: Vec<String> = std::mem::take(&mut read).into_iter().collect();
+            for names in due.chunks(MOST_READS) {
+                // Each is sent as it is made: they are on their way together.
+                let reads: Vec<_> =
+                    names.iter().map(|name| (name, client.get_and_watch_data(&child(name)))).collect();
+                for (name, answer) in reads {
+                    match answer.await {
+                        Ok((data, stat, watcher)) => {
+                            self.view(|view| view.put(name, stat.czxid, stat.version, &data));
+                            let of = name.clone();
+                            let watch = watches.spawn(async move { (Some(of), watcher.changed().await) });
+                            set.insert(name.clone(), watch);
+                        }
+                        // The watch on the list tells of its end, or has.
+                        Err(Error::NoNode) => self.view(|view| view.gone(name)),
+                        Err(error @ Error::NoAuth) => {
+                            self.view(|view| view.refused(name, &error.to_string()));
+                        }
+                        Err(error) => return Err(error),
+                    }
+                }
+            }
+            let news = self.view(|view| if first { Some(view.settle_again()) } else { view.settle() });
+            first = false;
+            if let Some(news) = news {
+                (self.tell)(news);
+            }
+            let mut fired = watches.join_next().await;
+            // Those that come at once are read together.
+            tokio::time::sleep_until(round + PACE).await;
+            while let Some(one) = fired {
+                // One that was aborted was of a child that is gone.
+                if let Ok((of, event)) = one {
+                    if event.event_type == EventType::Session {
+                        return Err(Error::ConnectionLoss);
+                    }
+                    match of {
+                        None => list = true,
+                        Some(name) => {
+                            set.remove(&name);
+                            read.insert(name);
+                        }
+                    }
+                }
+                fired = watches.try_join_next();
+            }
+        }
+    }
+}
+
+impl Work for Pool {
+    fn run(self: Arc<Self>, link: Link) -> Running {
+        Box::pin(async move {
+            // Whatever failed, the next run reads everything again.
+            let _ = self.follow(&link).await;
+        })
+    }
+
+    fn lost(&self) {
+        (self.tell)(News { told: Told::Lost, faults: self.view(|view| view.faults().to_vec()) });
+    }
+}
--- /dev/null
+++ b/crates/zookeeper/src/server.rs
@@ -0,0 +1,129 @@
+//! What a server says of itself: the data of its ephemeral node. Pure.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use woodgap_membership::Entry;
+
+/// Bytes of a node's data that are read, at most.
+pub const LONGEST_DATA: usize = 4_096;
+/// Characters of an id or a zone, at most.
+pub const LONGEST_NAME: usize = 128;
+/// The greatest weight.
+pub const MOST_SIZE: f64 = 1_000.0;
+
+/// Whether a server wants new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// It does.
+    #[default]
+    InService,
+    /// It finishes what it has: to be set before its session ends.
+    Terminating,
+}
+
+/// A server's data, as JSON. A field that is not known makes it unreadable: who misspells `phase` is to hear
+/// of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Its id, the same over restarts; the node's name where it is absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<String>,
+    /// Where it listens: `ADDRESS:PORT`.
+    pub address: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u64,
+    /// Its weight; above 0, at most [`MOST_SIZE`].
+    #[serde(default = "one")]
+    pub size: f64,
+    /// When its process started, Unix time in milliseconds; 0 is long ago. Without it a server that was away
+    /// counts as cold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
+    /// Whether it wants new work.
+    #[serde(default)]
+    pub phase: Phase,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Whether a text may be a server's id: letters, digits, `.`, `_` and `-`, [`LONGEST_NAME`] at most.
+fn is_id(text: &str) -> bool {
+    let fits = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+    (1..=LONGEST_NAME).contains(&text.len()) && text.chars().all(fits)
+}
+
+/// Reads the data of the node of this name.
+///
+/// # Errors
+/// Says what is wrong with it.
+pub fn read(name: &str, data: &[u8]) -> Result<Entry, String> {
+    if data.len() > LONGEST_DATA {
+        return Err(format!("its data has {} bytes, {LONGEST_DATA} are read", data.len()));
+    }
+    let server: Server = serde_json::from_slice(data).map_err(|error| error.to_string())?;
+    let id = server.id.unwrap_or_else(|| name.to_owned());
+    if !is_id(&id) {
+        return Err(format!("its id is to be 1 to {LONGEST_NAME} letters, digits, '.', '_' and '-'"));
+    }
+    if !(server.size > 0.0 && server.size <= MOST_SIZE) {
+        return Err(format!("size: give a number above 0, at most {MOST_SIZE}"));
+    }
+    if server.zone.len() > LONGEST_NAME || server.zone.chars().any(char::is_control) {
+        return Err(format!("zone: give {LONGEST_NAME} visible characters at most"));
+    }
+    if server.address.port() == 0 || server.address.ip().is_unspecified() {
+        return Err("address: give one that can be connected to".to_owned());
+    }
+    Ok(Entry {
+        id,
+        address: server.address,
+        zone: server.zone,
+        cell: server.cell,
+        size: server.size,
+        started_ms: server.started_ms,
+        draining: server.phase == Phase::Terminating,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn data_is_read_or_says_why_not() {
+        let entry = read("s1", br#"{"address": "10.0.0.1:80"}"#).unwrap();
+        assert_eq!(
+            (entry.id.as_str(), entry.size, entry.started_ms, entry.draining),
+            ("s1", 1.0, None, false)
+        );
+        let text = br#"{"id": "box-7", "address": "[::1]:80", "zone": "z", "cell": 3, "size": 2.5,
+            "started_ms": 9, "phase": "terminating"}"#;
+        let entry = read("n0000000001", text).unwrap();
+        assert_eq!((entry.id.as_str(), entry.cell, entry.started_ms), ("box-7", 3, Some(9)));
+        assert!(entry.draining);
+        for (bad, why) in [
+            ("", "EOF"),
+            ("{}", "address"),
+            (r#"{"address": "box:80"}"#, "address"),
+            (r#"{"address": "10.0.0.1:0"}"#, "connected"),
+            (r#"{"address": "0.0.0.0:80"}"#, "connected"),
+            (r#"{"address": "10.0.0.1:80", "phse": "terminating"}"#, "phse"),
+            (r#"{"address": "10.0.0.1:80", "size": 0}"#, "size"),
+            (r#"{"address": "10.0.0.1:80", "size": 1e300}"#, "size"),
+            (r#"{"address": "10.0.0.1:80", "id": "a/b"}"#, "id"),
+        ] {
+            let error = read("s", bad.as_bytes()).unwrap_err();
+            assert!(error.contains(why), "{bad}: {error}");
+        }
+        assert!(read("s", &vec![b' '; LONGEST_DATA + 1]).unwrap_err().contains("bytes"));
+    }
+}
