Take servers from ephemeral nodes, register the node, share one catalogue

A tenant's membership.ephemeral names a path beneath zookeeper.pools. It is watched once however many tenants name it; a server that tenants share counts for each by its part, so that a cold one is not pushed over by all of them. The merge outlives pools; documents of the catalogue are believed at once, sessions within bounds.

A node that cannot reach the service serves on, marks reads as stale and refuses writes.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -200,6 +200,11 @@
         Merge { bounds, views: BTreeMap::new(), memory: BTreeMap::new() }
     }
 
+    /// Goes by other bounds from now on.
+    pub fn bound(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Adds a source, with nothing told so far.
     pub fn add(&mut self, id: SourceId, source: Source) {
         let view =
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -29,6 +29,8 @@
 const ENTRIES: usize = 100;
 /// How long `changes` waits for one.
 pub const WAIT: Duration = Duration::from_secs(30);
+/// On answers to reads while the shared store is out of reach: for how many seconds it has been.
+pub const STALE: header::HeaderName = header::HeaderName::from_static("x-catalogue-stale");
 /// How long any other request may take.
 const SPENT: Duration = Duration::from_secs(15);
 
@@ -127,6 +129,33 @@
     core: f64,
     /// Its servers, where a pool runs.
     servers: Vec<ServerStatus>,
+    /// Where its servers come from, where they register at a path.
+    sources: Vec<SourceStatus>,
+    /// What is registered there and left out.
+    left_out: Vec<LeftOut>,
+}
+
+/// A source of servers.
+#[derive(Debug, Serialize, ToSchema)]
+struct SourceStatus {
+    /// Its name.
+    name: String,
+    /// Servers that it has.
+    servers: usize,
+    /// For how long it has been out of reach, in milliseconds; absent while it is not.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lost_ms: Option<u64>,
+    /// Servers that went with too many others, and stay for now.
+    in_doubt: usize,
+}
+
+/// A registration that is left out.
+#[derive(Debug, Serialize, ToSchema)]
+struct LeftOut {
+    /// The node's name.
+    child: String,
+    /// Why.
+    problem: String,
 }
 
 /// How a server stands in a pool.
@@ -233,9 +262,15 @@
         return response;
     };
     request.extensions_mut().insert(caller);
+    let reads = request.method() == axum::http::Method::GET;
     let most = if request.uri().path() == "/v1/changes" { WAIT + SPENT } else { SPENT };
     match tokio::time::timeout(most, next.run(request)).await {
-        Ok(response) => response,
+        Ok(mut response) => {
+            if let Some((since, _)) = api.control.stale().filter(|_| reads) {
+                response.headers_mut().insert(STALE, HeaderValue::from(since.elapsed().as_secs()));
+            }
+            response
+        }
         Err(_) => Problem::new(StatusCode::REQUEST_TIMEOUT, "send the whole request at once").into_response(),
     }
 }
@@ -523,6 +558,14 @@
         in_service: look.in_service,
         idle_connections: look.idle_connections,
     };
+    let source = |source: woodgap_membership::Standing| SourceStatus {
+        name: source.name,
+        servers: source.servers,
+        lost_ms: source.lost_since,
+        in_doubt: source.in_doubt,
+    };
+    let left_out =
+        |fault: woodgap_zookeeper::view::Fault| LeftOut { child: fault.child, problem: fault.problem };
     let [served, refused, failed] = standing.answers;
     let status = Status {
         name,
@@ -536,6 +579,8 @@
         failed,
         core: standing.core,
         servers: standing.servers.into_iter().map(server).collect(),
+        sources: standing.sources.into_iter().map(source).collect(),
+        left_out: standing.left_out.into_iter().map(left_out).collect(),
     };
     Ok(Json(status).into_response())
 }
--- a/crates/node/src/admin/problem.rs
+++ b/crates/node/src/admin/problem.rs
@@ -85,6 +85,7 @@
                 StatusCode::SERVICE_UNAVAILABLE,
                 format!("the store cannot be written ({why}); traffic goes on; read the document before you try again"),
             ),
+            Failure::Store(StoreError::TooLong { .. }) => Problem::new(StatusCode::PAYLOAD_TOO_LARGE, detail),
             Failure::Store(_) | Failure::Crowded | Failure::Ending => {
                 Problem::new(StatusCode::SERVICE_UNAVAILABLE, detail)
             }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -10,7 +10,6 @@
 
 use crate::hosted::config::{descriptors, HostedConfig};
 use crate::hosted::{self, Addresses};
-use crate::store::embedded::Embedded;
 use crate::{admin, platform};
 
 /// An HTTP load balancer. Without a command it is the platform's node, told by BALANCER_CONFIG.
@@ -70,8 +69,7 @@
                 crate::log::line(format_args!("{name} ({listener}) listens on {address}"));
             }
         };
-        let store = Box::new(Embedded::file(&config.store));
-        hosted::serve(config.clone(), store, stop, ready).await
+        hosted::serve(config.clone(), None, stop, ready).await
     }))
 }
 
@@ -80,6 +78,9 @@
     if let Some(admin) = &config.admin {
         admin::auth::Tokens::read(&admin.token_file)?;
     }
+    if let Some(zookeeper) = &config.zookeeper {
+        zookeeper.settings()?;
+    }
     println!("{}: no faults", path.display());
     Ok(())
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -16,10 +16,12 @@
 use crate::hosted::config::AdminConfig;
 use crate::hosted::directory::{Standing, View};
 use crate::hosted::Command;
-use crate::store::{Store, StoreError};
+use crate::store::{Remote, Store, StoreError};
 
 /// Changes that may wait for their turn.
 pub const MOST_WAITING: usize = 64;
+/// How often a change is worked out anew where another node was quicker to write.
+const MOST_TRIES: usize = 16;
 /// A change that a tenant has gone is tried again after this time, where the store was not writable.
 const AGAIN: Duration = Duration::from_secs(1);
 
@@ -47,6 +49,8 @@
     plane: mpsc::UnboundedSender<Command>,
     revision: watch::Sender<Revision>,
     waiting: Semaphore,
+    /// How the store stands, where other nodes write it too.
+    remote: Option<watch::Receiver<Remote>>,
 }
 
 /// The time of day, Unix time in milliseconds.
@@ -76,8 +80,9 @@
         plane: mpsc::UnboundedSender<Command>,
     ) -> Arc<Self> {
         let (revision, _) = watch::channel(catalogue.revision());
+        let remote = store.remote();
         let (catalogue, store) = (RwLock::new(catalogue), Mutex::new(Some(store)));
-        Arc::new(Control { catalogue, store, plane, revision, waiting: Semaphore::new(MOST_WAITING) })
+        Arc::new(Control { catalogue, store, plane, revision, waiting: Semaphore::new(MOST_WAITING), remote })
     }
 
     /// Looks at the catalogue.
@@ -113,30 +118,94 @@
 
     async fn make(&self, edit: Edit, seen: Condition, by: &str) -> Result<Change, Failure> {
         let mut place = self.store.lock().await;
-        let commit = self.read(|catalogue| catalogue.prepare(edit, seen, by, now_ms()))?;
+        for tries in 1.. {
+            let commit = self.read(|catalogue| catalogue.prepare(edit.clone(), seen, by, now_ms()))?;
+            let kept = commit.clone();
+            match self.ask(&mut place, move |store| store.commit(&kept)).await? {
+                Ok(()) => {
+                    let change = commit.change.clone();
+                    let touched = self
+                        .write(|catalogue| catalogue.apply(commit))
+                        .map_err(|present| StoreError::Conflict { present, base: change.revision - 1 })?;
+                    self.tell(touched).await;
+                    return Ok(change);
+                }
+                // Elsewhere than we thought: another wrote, or a commit lasted that seemed to have failed. What
+                // the change says that it has seen is held against what is there now.
+                Err(conflict @ StoreError::Conflict { .. }) => {
+                    self.catch_up(&mut place).await?;
+                    if tries >= MOST_TRIES {
+                        return Err(conflict.into());
+                    }
+                }
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Err(Failure::Ending)
+    }
+
+    /// Has the store do something that may block.
+    async fn ask<T: Send + 'static>(
+        &self,
+        place: &mut Option<Box<dyn Store>>,
+        what: impl FnOnce(&mut dyn Store) -> T + Send + 'static,
+    ) -> Result<T, Failure> {
         let mut store = place.take().ok_or(Failure::Ending)?;
-        let kept = commit.clone();
         let worked = tokio::task::spawn_blocking(move || {
-            let done = store.commit(&kept);
-            // Elsewhere than we thought: another wrote, or a commit lasted that seemed to have failed.
-            let fresh = match &done {
-                Err(StoreError::Conflict { .. }) => store.load().ok(),
-                _ => None,
-            };
-            (store, done, fresh)
+            let done = what(store.as_mut());
+            (store, done)
         });
-        let (store, done, fresh) = worked.await.map_err(|_| Failure::Ending)?;
+        let (store, done) = worked.await.map_err(|_| Failure::Ending)?;
         *place = Some(store);
-        if let Some(fresh) = fresh {
-            self.replace(fresh).await;
+        Ok(done)
+    }
+
+    /// Takes over what others have written.
+    async fn catch_up(&self, place: &mut Option<Box<dyn Store>>) -> Result<(), Failure> {
+        let known = self.read(Catalogue::revision);
+        if let Some(commits) = self.ask(place, move |store| store.after(known)).await?? {
+            let taken = self.write(|catalogue| {
+                let mut touched = BTreeSet::new();
+                for commit in commits {
+                    touched.extend(catalogue.apply(commit).ok()?);
+                }
+                Some(touched)
+            });
+            if let Some(touched) = taken {
+                self.tell(touched).await;
+                return Ok(());
+            }
+        }
+        let fresh = self.ask(place, |store| store.load()).await??;
+        self.replace(fresh).await;
+        Ok(())
+    }
+
+    /// Since when and why what is read here may not be the latest, where that is so.
+    pub fn stale(&self) -> Option<(std::time::Instant, String)> {
+        self.remote.as_ref().and_then(|remote| remote.borrow().ails.clone())
+    }
+
+    /// Follows a store that others write too.
+    async fn follow(self: Arc<Self>) {
+        let Some(mut remote) = self.remote.clone() else { return std::future::pending().await };
+        loop {
+            let revision = remote.borrow_and_update().revision;
+            if revision > self.read(Catalogue::revision) {
+                let mut place = self.store.lock().await;
+                if let Err(error) = self.catch_up(&mut place).await {
+                    crate::log::line(format_args!(
+                        "catalogue: revision {revision} is not taken over: {error}"
+                    ));
+                    drop(place);
+                    tokio::time::sleep(AGAIN).await;
+                    continue;
+                }
+            }
+            if remote.changed().await.is_err() {
+                return;
+            }
         }
-        done?;
-        let change = commit.change.clone();
-        let touched = self
-            .write(|catalogue| catalogue.apply(commit))
-            .map_err(|present| StoreError::Conflict { present, base: change.revision - 1 })?;
-        self.tell(touched).await;
-        Ok(change)
     }
 
     /// Takes over a catalogue that a store has in place of ours.
@@ -226,6 +295,7 @@
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn(move || {
         runtime.block_on(async move {
             let finish = tokio::spawn(control.clone().finish(gone));
+            let follow = tokio::spawn(control.clone().follow());
             let serve = async move {
                 match (admin, config) {
                     (Some((listener, tokens)), Some(config)) => {
@@ -237,6 +307,7 @@
             tokio::select! {
                 _ = stopped => {}
                 _ = finish => drop(end.send("nothing tells it of drained tenants any more".to_owned())),
+                _ = follow => drop(end.send("the store tells of no changes any more".to_owned())),
                 error = serve => drop(end.send(error.to_string())),
             }
         });
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -9,6 +9,9 @@
 
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
+use woodgap_membership::Bounds;
+use woodgap_zookeeper::is_path;
+use woodgap_zookeeper::session::{Settings, MOST_ADDRESSES};
 
 /// Listeners, at most.
 pub const MOST_LISTENERS: usize = 64;
@@ -33,6 +36,74 @@
     pub connections: usize,
 }
 
+/// Where the catalogue is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreConfig {
+    /// In a file of this node's alone.
+    File(PathBuf),
+    /// Under a path of the coordination service, shared by all nodes that name it.
+    Shared(String),
+}
+
+impl fmt::Display for StoreConfig {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreConfig::File(path) => path.display().fmt(f),
+            StoreConfig::Shared(path) => write!(f, "zookeeper {path}"),
+        }
+    }
+}
+
+/// How this node registers with the coordination service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegisterConfig {
+    /// The path under which nodes do; this one's own is its name.
+    pub path: String,
+    /// Where clients reach it: its first listener's address where it is absent.
+    pub address: Option<String>,
+}
+
+/// The coordination service and what it is for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZookeeperConfig {
+    /// How it is reached, without the identity.
+    pub settings: Settings,
+    /// The file with the identity, `USER:PASSWORD`.
+    pub digest_file: Option<PathBuf>,
+    /// The path beneath which tenants' servers register.
+    pub pools: String,
+    /// How much of what goes at once is believed.
+    pub bounds: Bounds,
+    /// How this node registers, if it does.
+    pub register: Option<RegisterConfig>,
+}
+
+impl Eq for ZookeeperConfig {}
+
+impl ZookeeperConfig {
+    /// How the service is reached, with the identity.
+    ///
+    /// # Errors
+    /// Where its file cannot be read, can be read by others, or holds no identity.
+    pub fn settings(&self) -> Result<Settings, String> {
+        use std::os::unix::fs::MetadataExt;
+        let Some(path) = &self.digest_file else { return Ok(self.settings.clone()) };
+        let at = path.display();
+        let mode = std::fs::metadata(path).map_err(|error| format!("zookeeper.digest_file {at}: {error}"))?;
+        if mode.mode() & 0o077 != 0 {
+            return Err(format!("zookeeper.digest_file {at}: others can read it; chmod 0600 {at}"));
+        }
+        let text = std::fs::read_to_string(path).map_err(|e| format!("zookeeper.digest_file {at}: {e}"))?;
+        let digest = text.trim();
+        let whole =
+            digest.split_once(':').is_some_and(|(user, secret)| !user.is_empty() && !secret.is_empty());
+        if !whole || digest.contains(['\n', '\r']) {
+            return Err(format!("zookeeper.digest_file {at}: write USER:PASSWORD on one line"));
+        }
+        Ok(Settings { digest: Some(digest.to_owned()), ..self.settings.clone() })
+    }
+}
+
 /// All that a hosted node is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostedConfig {
@@ -52,10 +123,12 @@
     pub pool_idle: Duration,
     /// Where clients come.
     pub listen: Vec<Listen>,
-    /// The file of the catalogue.
-    pub store: PathBuf,
+    /// Where the catalogue is.
+    pub store: StoreConfig,
     /// The administration API, if there is one.
     pub admin: Option<AdminConfig>,
+    /// The coordination service, if there is one.
+    pub zookeeper: Option<ZookeeperConfig>,
 }
 
 /// Holds the descriptors that a node is to use against those that the system lets it have.
@@ -163,6 +236,11 @@
         self.value(s, key, "an address and port, such as \"127.0.0.1:8080\"", |v| v.as_str()?.parse().ok())
     }
 
+    /// A path of the coordination service.
+    fn path(&mut self, s: &mut Section<'_, '_>, key: &'static str, right: &str) -> Option<String> {
+        self.value(s, key, right, |v| v.as_str().filter(|path| is_path(path)).map(str::to_owned))
+    }
+
     fn required<T>(&mut self, section: &Section<'_, '_>, key: &str, value: Option<T>) -> Option<T> {
         let present = section.table.iter().any(|(name, _)| name.get_ref() == key);
         if value.is_none() && !present {
@@ -242,10 +320,37 @@
             reader.done(pools);
         }
         let listen = Self::listeners(reader, top);
+        let zookeeper = match reader.section(top, "zookeeper") {
+            Some(mut section) => {
+                let zookeeper = Self::zookeeper(reader, &mut section, folder);
+                reader.done(section);
+                zookeeper
+            }
+            None => None,
+        };
         let mut store = None;
         if let Some(mut section) = reader.section(top, "store") {
-            let path = reader.text(&mut section, "path", "the file of the catalogue");
-            store = reader.required(&section, "path", path);
+            let file = reader.text(&mut section, "path", "the file of the catalogue");
+            let shared = reader.path(&mut section, "zookeeper", "a path of the service: \"/catalogue\"");
+            let here = |key: &str| section.table.iter().any(|(name, _)| name.get_ref() == key);
+            let span = section.span.clone();
+            match (here("path"), here("zookeeper")) {
+                (true, true) => {
+                    reader.fault(
+                        span,
+                        "store: give path (a file) or zookeeper (a path there), not both".into(),
+                    );
+                }
+                (false, false) => reader.fault(
+                    span,
+                    "store.path is missing (a file), or store.zookeeper (a path there)".to_owned(),
+                ),
+                (_, true) if top.table.iter().all(|(key, _)| key.get_ref() != "zookeeper") => {
+                    reader.fault(span, "store.zookeeper: say in [zookeeper] where the service is".to_owned());
+                }
+                _ => {}
+            }
+            store = file.map(|file| StoreConfig::File(folder.join(file))).or(shared.map(StoreConfig::Shared));
             reader.done(section);
         } else if top.table.iter().all(|(key, _)| key.get_ref() != "store") {
             reader.fault(0..0, "[store] is missing: it names the file of the catalogue as path".to_owned());
@@ -268,8 +373,9 @@
             held: held.unwrap_or(20_000) as usize,
             pool_idle: Duration::from_secs(pool_idle.unwrap_or(10)),
             listen: listen?,
-            store: folder.join(store?),
+            store: store?,
             admin,
+            zookeeper,
         })
     }
 
@@ -308,6 +414,64 @@
         Some(listeners)
     }
 
+    fn zookeeper(
+        reader: &mut Reader<'_>,
+        section: &mut Section<'_, '_>,
+        folder: &Path,
+    ) -> Option<ZookeeperConfig> {
+        let right = "a list of 1 to 64 \"HOST:PORT\"";
+        let addresses = reader.value(section, "addresses", right, |value| {
+            let one = |item: &Spanned<DeValue<'_>>| {
+                let text = item.get_ref().as_str()?;
+                let (host, port) = text.rsplit_once(':')?;
+                let plain =
+                    !host.is_empty() && !text.contains([',', '/']) && !text.contains(char::is_whitespace);
+                (plain && port.parse::<u16>().is_ok_and(|port| port > 0)).then(|| text.to_owned())
+            };
+            let all: Option<Vec<String>> = value.as_array()?.iter().map(one).collect();
+            all.filter(|all| (1..=MOST_ADDRESSES).contains(&all.len()))
+        });
+        let addresses = reader.required(section, "addresses", addresses);
+        let chroot = reader.path(section, "chroot", "a path of the service: \"/woodgap\"");
+        let session_ms = reader.whole(section, "session_ms", 1_000..120_001).unwrap_or(10_000);
+        let digest_file = reader.text(section, "digest_file", "the file with USER:PASSWORD, mode 0600");
+        let pools = reader.path(section, "pools", "a path of the service: \"/pools\"");
+        let usual = Bounds::default();
+        let part = "a number above 0, at most 1";
+        let vanish = reader.value(section, "vanish", part, |value| {
+            let text = value.as_float().map(|f| f.as_str()).or(value.as_integer().map(|n| n.as_str()))?;
+            let figure: f64 = text.parse().ok()?;
+            (figure > 0.0 && figure <= 1.0).then_some(figure)
+        });
+        let millis = |s: u64| s.saturating_mul(1_000);
+        let bounds = Bounds {
+            vanish: vanish.unwrap_or(usual.vanish),
+            doubt: reader.whole(section, "doubt_s", 0..86_401).map_or(usual.doubt, millis),
+            flaps: reader.whole(section, "flaps", 0..1_001).map_or(usual.flaps, |n| n as usize),
+            flap_hold: reader.whole(section, "flap_hold_s", 0..3_601).map_or(usual.flap_hold, millis),
+            ..usual
+        };
+        let register = reader.section(section, "register").and_then(|mut section| {
+            let path = reader.path(&mut section, "path", "a path of the service: \"/nodes\"");
+            let path = reader.required(&section, "path", path);
+            let address = reader.text(&mut section, "address", "HOST:PORT where clients reach this node");
+            reader.done(section);
+            Some(RegisterConfig { path: path?, address })
+        });
+        Some(ZookeeperConfig {
+            settings: Settings {
+                addresses: addresses?,
+                chroot: chroot.unwrap_or_default(),
+                digest: None,
+                session: Duration::from_millis(session_ms),
+            },
+            digest_file: digest_file.map(|file| folder.join(file)),
+            pools: pools.unwrap_or_else(|| "/pools".to_owned()),
+            bounds,
+            register,
+        })
+    }
+
     fn admin(reader: &mut Reader<'_>, section: &mut Section<'_, '_>, folder: &Path) -> Option<AdminConfig> {
         let listen = reader.address(section, "listen").unwrap_or(SocketAddr::from(([127, 0, 0, 1], 9901)));
         let public =
@@ -339,7 +503,7 @@
         let text = include_str!("../../../../deploy/hosted.toml");
         let config = HostedConfig::read(text, Path::new("/srv/woodgap")).unwrap();
         assert_eq!(config.listen[0].name, "public");
-        assert!(config.store.starts_with("/srv/woodgap") || config.store.is_absolute());
+        assert_eq!(config.store, StoreConfig::File("/srv/woodgap/catalogue.redb".into()));
         assert!(config.admin.unwrap().listen.ip().is_loopback());
     }
 
@@ -348,8 +512,8 @@
         let text = "[[listen]]\nname = 'a'\naddress = '127.0.0.1:0'\n[store]\npath = 'c.redb'\n";
         let config = HostedConfig::read(text, Path::new("/etc")).unwrap();
         assert_eq!((config.nodes, config.sockets, config.memory), (1, 4_096, 1 << 30));
-        assert_eq!(config.store, Path::new("/etc/c.redb"));
-        assert!(config.admin.is_none());
+        assert_eq!(config.store, StoreConfig::File("/etc/c.redb".into()));
+        assert!(config.admin.is_none() && config.zookeeper.is_none());
     }
 
     #[test]
@@ -372,6 +536,32 @@
         assert!(faults("").iter().any(|(_, problem)| problem.contains("[[listen]]")));
     }
 
+    #[test]
+    fn the_coordination_service_is_read_with_its_faults() {
+        let head = "[[listen]]\nname = 'a'\naddress = '127.0.0.1:0'\n";
+        let good = format!(
+            "{head}[store]\nzookeeper = '/catalogue'\n[zookeeper]\naddresses = ['zk1:2181', '[::1]:2181']\n\
+            chroot = '/woodgap'\nvanish = 0.25\ndoubt_s = 5\n[zookeeper.register]\npath = '/nodes'\n"
+        );
+        let config = HostedConfig::read(&good, Path::new("/etc")).unwrap();
+        assert_eq!(config.store, StoreConfig::Shared("/catalogue".into()));
+        let zookeeper = config.zookeeper.unwrap();
+        assert_eq!(zookeeper.settings.addresses.len(), 2);
+        assert_eq!(
+            (zookeeper.pools.as_str(), zookeeper.bounds.vanish, zookeeper.bounds.doubt),
+            ("/pools", 0.25, 5_000)
+        );
+        assert_eq!(zookeeper.register.unwrap().path, "/nodes");
+        let bad = format!(
+            "{head}[store]\npath = 'c'\nzookeeper = 'catalogue'\n[zookeeper]\naddresses = ['zk1']\nchroot = '/a/'\n\
+            session_ms = 10\nvanish = 0.0\npool = '/x'\n"
+        );
+        let lines: Vec<usize> = faults(&bad).iter().map(|fault| fault.0).collect();
+        assert_eq!(lines, [4, 6, 8, 9, 10, 11, 12], "{:?}", faults(&bad));
+        let nowhere = faults(&format!("{head}[store]\nzookeeper = '/catalogue'\n"));
+        assert!(nowhere[0].1.contains("[zookeeper]"), "{nowhere:?}");
+    }
+
     #[test]
     fn a_public_admin_port_has_to_be_meant() {
         let text = "[[listen]]\nname = 'a'\naddress = '127.0.0.1:0'\n[store]\npath = 'c'\n[admin]\n\
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -17,13 +17,16 @@
 use woodgap_decisions::{
     Class, Discovery, KeyScope, Semantics, ServerState, Settings, WeightSource, WorthBy,
 };
+use woodgap_membership::{SourceId, Standing as SourceStanding, Told};
 use woodgap_tenancy::catalogue::{claims_of, MemberView};
 use woodgap_tenancy::quota::Quota;
 use woodgap_tenancy::route::{tenant_of, Claim, Unrouted};
 use woodgap_tenancy::shares::Shares;
 use woodgap_tenancy::spec::{Repeat, Scope};
 use woodgap_tenancy::{State, TenantSpec, Uid};
+use woodgap_zookeeper::view::{Fault as LeftOut, News};
 
+use super::ephemeral::Paths;
 use super::Bounds;
 use crate::config::Figures;
 use crate::front::http1::Clients;
@@ -34,6 +37,7 @@
 use crate::pool::{Account, Counted, Service};
 use crate::sockets::Sockets;
 use crate::sources::discovery::{Entry as Listed, List};
+use crate::sources::views::{believed, Views};
 use crate::upstream::servers::Servers;
 
 /// When a request comes back that the node had no room or no turn for.
@@ -75,6 +79,10 @@
     pub core: f64,
     /// Its servers, where a pool runs.
     pub servers: Vec<Look>,
+    /// Where they come from, where that is more than its documents; times are ages in milliseconds.
+    pub sources: Vec<SourceStanding>,
+    /// What registered and is left out.
+    pub left_out: Vec<LeftOut>,
 }
 
 struct Entry {
@@ -90,6 +98,59 @@
     /// Drivers that have not ended.
     drivers: Rc<Cell<usize>>,
     used: Cell<Instant>,
+    /// What the sources of its servers told: while a pool runs, or they register at a path.
+    views: Option<Box<Views>>,
+    /// The path where they do, with its source.
+    path: Option<(String, SourceId)>,
+    /// The path where they did, until the new one has been read.
+    old_path: Option<(String, SourceId)>,
+    /// When its list changes though nobody tells anything.
+    due: Option<Instant>,
+}
+
+impl Entry {
+    /// Its servers as all sources together have them.
+    fn servers(&mut self) -> List {
+        if self.view.state != State::Active {
+            return List { complete: true, ..List::default() };
+        }
+        let view = &self.view;
+        let views = self.views.get_or_insert_with(|| {
+            let mut views = Box::new(Views::new("catalogue", believed()));
+            views.listed(&list(&view.members));
+            views
+        });
+        let servers = views.list();
+        self.due = views.due().map(|due| Instant::now() + due);
+        servers
+    }
+
+    /// Tells its pools of its servers.
+    fn tell(&mut self) {
+        self.pools.retain(|pool| pool.strong_count() > 0);
+        if self.pools.is_empty() {
+            return;
+        }
+        let servers = self.servers();
+        for pool in self.pools.iter().filter_map(mpsc::WeakUnboundedSender::upgrade) {
+            let _ = pool.send(Msg::Members(servers.clone()));
+        }
+    }
+
+    /// Takes what was read at its path.
+    fn take(&mut self, paths: &mut Paths) {
+        let Some((path, _)) = &self.path else { return };
+        let Some((source, told, lost)) = paths.told(path) else { return };
+        let Some(views) = &mut self.views else { return };
+        views.told(source, told);
+        if lost {
+            views.told(source, Told::Lost);
+        }
+        if let Some((old, source)) = self.old_path.take() {
+            views.remove(source);
+            paths.leave(&old, self.view.uid);
+        }
+    }
 }
 
 /// The tenants of a node.
@@ -108,6 +169,8 @@
     /// Tenants that drained and hold nothing any more.
     drained: mpsc::UnboundedSender<Uid>,
     seeds: RefCell<fastrand::Rng>,
+    /// Where servers register, if that is anywhere.
+    paths: RefCell<Option<Paths>>,
 }
 
 /// Units of a share, given back when dropped.
@@ -126,7 +189,12 @@
 
 impl Tenants {
     /// No tenants yet. `drained` hears of each that drained and holds nothing any more.
-    pub fn new(bounds: Bounds, sockets: Rc<Sockets>, drained: mpsc::UnboundedSender<Uid>) -> Rc<Self> {
+    pub fn new(
+        bounds: Bounds,
+        sockets: Rc<Sockets>,
+        drained: mpsc::UnboundedSender<Uid>,
+        paths: Option<Paths>,
+    ) -> Rc<Self> {
         let shares = |whole: usize| Rc::new(RefCell::new(Shares::new(whole.max(1) as u64)));
         let tenants = Rc::new(Tenants {
             sockets,
@@ -140,6 +208,7 @@
             clients: RefCell::default(),
             drained,
             seeds: RefCell::new(fastrand::Rng::with_seed(bounds.seed)),
+            paths: RefCell::new(paths),
             bounds,
         });
         spawn_local(Self::look_over(Rc::downgrade(&tenants)));
@@ -181,15 +250,25 @@
                 meter: None,
                 drivers: Rc::default(),
                 used: Cell::new(Instant::now()),
+                views: None,
+                path: None,
+                old_path: None,
+                due: None,
                 view: view.clone(),
             }),
         };
         let (old, new) = (entry.view.spec.clone(), view.spec.clone());
         entry.view = view;
-        entry.pools.retain(|pool| pool.strong_count() > 0);
-        for pool in entry.pools.iter().filter_map(mpsc::WeakUnboundedSender::upgrade) {
-            let _ = pool.send(Msg::Members(list(&entry.view.members)));
+        if let Some(views) = &mut entry.views {
+            views.listed(&list(&entry.view.members));
         }
+        let touched = self.follow(entry);
+        entry.tell();
+        // Those that share its path share its servers with one more, or one less.
+        for other in touched {
+            self.told(&mut entries, other);
+        }
+        let Some(entry) = entries.get_mut(&uid) else { return };
         if !active {
             entry.account.closed.set(true);
             entry.service = None;
@@ -216,6 +295,90 @@
         claims.extend(claims_of(&entry.view.name, &new).into_iter().map(|(_, claim)| (claim, uid)));
     }
 
+    /// Has a tenant's servers come from the path that its document names now, and tells which tenants are to
+    /// be told of theirs.
+    fn follow(&self, entry: &mut Entry) -> Vec<Uid> {
+        let mut paths = self.paths.borrow_mut();
+        let Some(paths) = paths.as_mut() else { return Vec::new() };
+        let uid = entry.view.uid;
+        let active = entry.view.state == State::Active;
+        let wanted = entry.view.spec.membership.ephemeral.clone().filter(|_| active);
+        if entry.path.as_ref().map(|(path, _)| path) == wanted.as_ref() {
+            return Vec::new();
+        }
+        let mut touched = Vec::new();
+        for (path, source) in entry.old_path.take().into_iter().chain(entry.path.take()) {
+            if wanted.is_some() && entry.old_path.is_none() {
+                // It counts until the new one has been read.
+                entry.old_path = Some((path, source));
+                continue;
+            }
+            paths.leave(&path, uid);
+            touched.extend(paths.tenants(&path));
+            if let Some(views) = &mut entry.views {
+                views.remove(source);
+            }
+        }
+        if let Some(path) = wanted {
+            let Some((source, read)) = paths.join(&path, uid) else {
+                crate::log::line(format_args!("tenant {}: too many paths are watched", entry.view.name));
+                return touched;
+            };
+            let (members, bounds) = (&entry.view.members, paths.bounds.clone());
+            let views = entry.views.get_or_insert_with(|| {
+                let mut views = Box::new(Views::new("catalogue", believed()));
+                views.listed(&list(members));
+                views
+            });
+            views.bounded(bounds);
+            views.add(source, &format!("ephemeral {path}"));
+            entry.path = Some((path.clone(), source));
+            if read {
+                touched.extend(paths.tenants(&path));
+                entry.take(paths);
+            }
+        }
+        touched.retain(|other| *other != uid);
+        touched
+    }
+
+    /// Tells a tenant's pools what was read at its path.
+    fn told(&self, entries: &mut HashMap<Uid, Entry>, uid: Uid) {
+        if let (Some(entry), Some(paths)) = (entries.get_mut(&uid), self.paths.borrow_mut().as_mut()) {
+            entry.take(paths);
+            entry.tell();
+        }
+    }
+
+    /// Takes what is new of a path.
+    pub fn heard(&self, path: &str, source: SourceId, news: News) {
+        let tenants = {
+            let mut paths = self.paths.borrow_mut();
+            let Some(paths) = paths.as_mut() else { return };
+            if !paths.heard(path, source, news) {
+                return;
+            }
+            paths.tenants(path)
+        };
+        let mut entries = self.entries.borrow_mut();
+        for uid in tenants {
+            self.told(&mut entries, uid);
+        }
+    }
+
+    /// Requests held, of all tenants.
+    pub fn held(&self) -> usize {
+        self.entries.borrow().values().map(|entry| entry.account.held.get()).sum()
+    }
+
+    /// Waits until every path that is named has been read, or for this long.
+    pub async fn settled(&self, most: Duration) {
+        let unread = self.paths.borrow().as_ref().map(Paths::unread);
+        if let Some(mut unread) = unread {
+            let _ = tokio::time::timeout(most, unread.wait_for(|unread| *unread == 0)).await;
+        }
+    }
+
     /// What a tenant has going on; `None` for one that this node does not know.
     pub async fn standing(&self, uid: Uid) -> Option<Standing> {
         let (mut standing, pool) = {
@@ -229,6 +392,15 @@
                 answers: [account.served.get(), account.refused.get(), account.failed.get()],
                 core: self.core.use_of(uid).1,
                 servers: Vec::new(),
+                sources: entry
+                    .views
+                    .as_ref()
+                    .filter(|_| entry.path.is_some())
+                    .map_or(Vec::new(), |v| v.status()),
+                left_out: match (self.paths.borrow().as_ref(), &entry.path) {
+                    (Some(paths), Some((path, _))) => paths.faults(path),
+                    _ => Vec::new(),
+                },
             };
             (standing, entry.service.as_ref().map(|service| service.tx.clone()))
         };
@@ -242,6 +414,7 @@
 
     /// Starts a tenant's pool.
     fn start(&self, entry: &mut Entry) -> Rc<Service> {
+        let servers_now = entry.servers();
         let spec = &entry.view.spec;
         let (settings, names) = settings_of(spec, self.bounds.nodes);
         let (tx, rx) = mpsc::unbounded_channel();
@@ -257,7 +430,7 @@
         let servers = Servers::new(figures, self.sockets.clone(), Some(meter.clone()));
         let seed = self.seeds.borrow_mut().u64(..);
         let mut driver = Driver::new(&settings, seed, None, servers, None, &tx, Some(meter.clone()));
-        driver.start(&list(&entry.view.members));
+        driver.start(&servers_now);
         let (drivers, pool_meter) = (entry.drivers.clone(), meter.clone());
         drivers.set(drivers.get() + 1);
         spawn_local(async move {
@@ -295,8 +468,15 @@
                 if unused && entry.service.as_ref().is_some_and(|service| Rc::strong_count(service) == 1) {
                     entry.service = None;
                 }
+                if entry.due.is_some_and(|due| due <= Instant::now()) {
+                    entry.tell();
+                }
                 entry.pools.retain(|pool| pool.strong_count() > 0);
-                entry.service.is_some() || entry.drivers.get() > 0
+                let runs = entry.service.is_some() || entry.drivers.get() > 0;
+                if !runs && entry.path.is_none() {
+                    entry.views = None;
+                }
+                runs
             });
         }
     }
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -8,11 +8,15 @@
 //!   listeners ───────────────────────────────────▶ front ────┘
 //! ```
 //!
+//! With a coordination service ([`woodgap_zookeeper`]) there is a third thread, the session's: it tells the data
+//! thread of servers that register, and carries what a shared store reads and writes.
+//!
 //! A change is durable first, then carried out by the data thread, and only then answered: who has its
 //! answer can count on it. The data thread never waits for a disk or an administrator.
 
 pub mod config;
 pub(crate) mod directory;
+pub(crate) mod ephemeral;
 
 use std::error::Error;
 use std::net::SocketAddr;
@@ -21,17 +25,24 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_local, LocalSet};
+use woodgap_membership::SourceId;
 use woodgap_tenancy::Uid;
+use woodgap_zookeeper::register::{Node, Register};
+use woodgap_zookeeper::session::Service;
+use woodgap_zookeeper::view::News;
 
 use crate::admin;
 use crate::control::{self, Control};
 use crate::front::http1::Clients;
 use crate::platform::{CLIENTS, HELD_BYTES, OVERFLOW, RESERVE};
 use crate::sockets::Sockets;
+use crate::store::embedded::Embedded;
+use crate::store::shared::Shared;
 use crate::store::Store;
 use crate::task::Budget;
-use config::HostedConfig;
+use config::{HostedConfig, StoreConfig};
 use directory::{Standing, Tenants, View};
+use ephemeral::Paths;
 
 /// What tenants share on this node.
 #[derive(Clone, Copy, Debug)]
@@ -54,10 +65,21 @@
 pub(crate) enum Command {
     /// Tenants as the catalogue has them now; answered once that is carried out.
     Update(Vec<View>, oneshot::Sender<()>),
+    /// What is new of a path where servers register.
+    Ephemeral(String, SourceId, News),
     /// How a tenant stands.
     Standing(Uid, oneshot::Sender<Option<Standing>>),
 }
 
+/// Descriptors that the coordination service takes: its connection, the runtimes and what wakes them.
+const ZOOKEEPER_DESCRIPTORS: usize = 16;
+/// How long a node waits at its start until the paths are read where its tenants' servers register.
+const READ_AT_START: Duration = Duration::from_secs(3);
+/// How long taking the node's registration off may take when it drains.
+const WITHDRAW: Duration = Duration::from_secs(1);
+/// How often the node's load is looked at for its registration.
+const LOAD: Duration = Duration::from_secs(1);
+
 /// Where a node that runs can be reached.
 #[derive(Clone, Debug)]
 pub struct Addresses {
@@ -67,19 +89,40 @@
     pub admin: Option<SocketAddr>,
 }
 
-/// Serves until `stop` is done, then lets what was taken finish. Calls `ready` once it listens.
+/// The store that the configuration names.
+///
+/// # Errors
+/// Where it names a shared one and no service.
+fn store_of(config: &HostedConfig, service: Option<&Service>) -> Result<Box<dyn Store>, Box<dyn Error>> {
+    match (&config.store, service) {
+        (StoreConfig::File(path), _) => Ok(Box::new(Embedded::file(path))),
+        (StoreConfig::Shared(path), Some(service)) => Ok(Box::new(Shared::open(service, path))),
+        (StoreConfig::Shared(_), None) => Err("store.zookeeper needs [zookeeper]".into()),
+    }
+}
+
+/// Serves until `stop` is done, then lets what was taken finish. Calls `ready` once it listens. `store` is used
+/// in place of the one that the configuration names, if there is one.
 ///
 /// # Errors
 /// Says which address cannot be used, why the store cannot be read, or which part of the node ended.
 pub async fn serve(
     config: HostedConfig,
-    mut store: Box<dyn Store>,
+    store: Option<Box<dyn Store>>,
     stop: impl std::future::Future<Output = ()>,
     ready: impl FnOnce(Addresses),
 ) -> Result<(), Box<dyn Error>> {
     let tokens =
         config.admin.as_ref().map(|admin| admin::auth::Tokens::read(&admin.token_file)).transpose()?;
-    let catalogue = store.load().map_err(|error| format!("{}: {error}", config.store.display()))?;
+    let service = match &config.zookeeper {
+        Some(zookeeper) => Some(Service::start(zookeeper.settings()?)?),
+        None => None,
+    };
+    let mut store = match store {
+        Some(store) => store,
+        None => store_of(&config, service.as_ref())?,
+    };
+    let catalogue = store.load().map_err(|error| format!("{}: {error}", config.store))?;
     let mut listeners = Vec::new();
     let mut addresses = Addresses { listeners: Vec::new(), admin: None };
     for listen in &config.listen {
@@ -99,7 +142,8 @@
         None => None,
     };
     let admin_sockets = config.admin.as_ref().map_or(0, |admin| admin.connections + 8);
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + admin_sockets).max(4);
+    let zookeeper_sockets = service.as_ref().map_or(0, |_| ZOOKEEPER_DESCRIPTORS);
+    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + admin_sockets + zookeeper_sockets).max(4);
     let connections = ((all as f64 * CLIENTS) as usize).max(1);
     // Each request held may need a socket to a server.
     let held = config.held.min(all - connections).min((config.memory / HELD_BYTES).max(1));
@@ -113,13 +157,16 @@
     };
     let sockets = Sockets::new(all);
     let (drained, gone) = mpsc::unbounded_channel();
-    let tenants = Tenants::new(bounds, sockets.clone(), drained);
+    let (plane, mut commands) = mpsc::unbounded_channel();
+    let paths = service.as_ref().zip(config.zookeeper.as_ref()).map(|(service, zookeeper)| {
+        Paths::new(service.clone(), zookeeper.pools.clone(), zookeeper.bounds.clone(), &plane)
+    });
+    let tenants = Tenants::new(bounds, sockets.clone(), drained, paths);
     let budgets = (Budget::new(connections), Budget::new(OVERFLOW));
     let clients = Clients::new(tenants.clone(), true, sockets, budgets);
     tenants.serve(&clients);
     control::views(&catalogue).for_each(|view| tenants.update(view));
 
-    let (plane, mut commands) = mpsc::unbounded_channel();
     let control = Control::new(catalogue, store, plane);
     let mut control = control::start(control, gone, admin.zip(tokens), config.admin.clone())?;
     let obey = {
@@ -131,6 +178,7 @@
                         views.into_iter().for_each(|view| tenants.update(view));
                         let _ = done.send(());
                     }
+                    Command::Ephemeral(path, source, news) => tenants.heard(&path, source, news),
                     Command::Standing(uid, reply) => {
                         let tenants = tenants.clone();
                         spawn_local(async move { drop(reply.send(tenants.standing(uid).await)) });
@@ -139,18 +187,56 @@
             }
         })
     };
+    tenants.settled(READ_AT_START).await;
+    let registration = registration(&config, service.as_ref(), &addresses)?;
     for (name, listener) in listeners {
         spawn_local(clients.clone().accept(listener, name.into()));
     }
     ready(addresses);
+    let loads = async {
+        let Some(registration) = &registration else { return std::future::pending().await };
+        loop {
+            registration.load(tenants.held() as f64 / held as f64);
+            tokio::time::sleep(LOAD).await;
+        }
+    };
+    // Off the list first: whoever reads it sends no more.
+    let leave = async {
+        match &registration {
+            Some(registration) => drop(registration.withdraw(WITHDRAW).await),
+            None => {}
+        }
+    };
     tokio::select! {
-        () = stop => clients.drain().await,
+        () = stop => {
+            tokio::join!(clients.drain(), leave);
+        }
+        () = loads => {}
         _ = obey => return Err("the control thread ended".into()),
         why = control.ended() => return Err(format!("the control thread ended: {why}").into()),
     }
     Ok(())
 }
 
+/// Registers the node, where it is to be.
+fn registration(
+    config: &HostedConfig,
+    service: Option<&Service>,
+    addresses: &Addresses,
+) -> Result<Option<Register>, Box<dyn Error>> {
+    let register = config.zookeeper.as_ref().and_then(|zookeeper| zookeeper.register.as_ref());
+    let (Some(register), Some(service)) = (register, service) else { return Ok(None) };
+    let first = addresses.listeners.first().ok_or("no listener to register")?.1;
+    let node = Node {
+        address: register.address.clone().unwrap_or_else(|| first.to_string()),
+        protocols: vec!["http1".to_owned()],
+        load: 0.0,
+        started_ms: control::now_ms(),
+        instance: format!("{:016x}", fastrand::u64(..)),
+    };
+    Ok(Some(Register::start(service, format!("{}/{}", register.path, config.name), node)))
+}
+
 /// A node on a thread of its own.
 pub struct Running {
     /// Where it can be reached.
@@ -163,7 +249,7 @@
 ///
 /// # Errors
 /// As [`serve`].
-pub fn spawn(config: HostedConfig, store: Box<dyn Store>) -> Result<Running, String> {
+pub fn spawn(config: HostedConfig, store: Option<Box<dyn Store>>) -> Result<Running, String> {
     let (stop, stopped) = oneshot::channel::<()>();
     let (ready, addresses) = std::sync::mpsc::channel();
     let thread = std::thread::spawn(move || {
--- a/crates/node/src/sources/views.rs
+++ b/crates/node/src/sources/views.rs
@@ -38,6 +38,11 @@
         views
     }
 
+    /// Goes by other bounds from now on.
+    pub fn bounded(&mut self, bounds: Bounds) {
+        self.merge.bound(bounds);
+    }
+
     /// Adds a source of signs of life, which rules over [`LISTED`] and over those added before it.
     pub fn add(&mut self, source: SourceId, name: &str) {
         let (name, rank, kept) = (name.to_owned(), source.0, false);
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -6,11 +6,15 @@
 //!      └────────────── Store::load ◀─────────────────┘
 //! ```
 //!
+//! A store that others write too tells of that ([`Store::remote`]); what they wrote is then taken over by
+//! [`Store::after`].
+//!
 //! A store keeps records and one revision, and takes a commit only on top of the revision that it
 //! stands on. Nothing else is asked of it, so a shared one (for a fleet) needs no more than a
 //! conditional write.
 
 pub mod embedded;
+pub mod shared;
 
 use woodgap_tenancy::catalogue::Revision;
 use woodgap_tenancy::{Catalogue, Commit};
@@ -32,6 +36,23 @@
     /// What it holds cannot be read or makes no sense. It is left as it is.
     #[error("the store cannot be read: {0}")]
     Unreadable(String),
+    /// The commit has more bytes than the store takes at once. Nothing was written.
+    #[error("the change has {bytes} bytes, the store takes {most} at once: make it smaller")]
+    TooLong {
+        /// Its size.
+        bytes: usize,
+        /// What would be taken.
+        most: usize,
+    },
+}
+
+/// How a store that others write too stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Remote {
+    /// Its revision, as last seen.
+    pub revision: Revision,
+    /// Since when it cannot be reached or makes no sense, and why; `None` while all is well.
+    pub ails: Option<(std::time::Instant, String)>,
 }
 
 /// Keeps the catalogue. Calls may block; they are made one at a time.
@@ -48,4 +69,18 @@
     /// [`StoreError::Conflict`] where the store stands elsewhere, [`StoreError::Unwritable`] where it
     /// cannot be written.
     fn commit(&mut self, commit: &Commit) -> Result<(), StoreError>;
+
+    /// The commits after a revision, oldest first; `None` where it does not know them one by one and has to be
+    /// loaded.
+    ///
+    /// # Errors
+    /// [`StoreError::Unreadable`].
+    fn after(&mut self, _revision: Revision) -> Result<Option<Vec<Commit>>, StoreError> {
+        Ok(None)
+    }
+
+    /// How it stands, where others write it too.
+    fn remote(&self) -> Option<tokio::sync::watch::Receiver<Remote>> {
+        None
+    }
 }
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -383,7 +383,8 @@
     for ails in [Ails::Full, Ails::ReadOnly] {
         let doctor = Doctor::default();
         let disk = doctor.clone();
-        let start = move || Site::with(|_| {}, |config| Box::new(disk::store(&config.store, &disk))).unwrap();
+        let start =
+            move || Site::with(|_| {}, |config| Box::new(disk::store(&Site::file(config), &disk))).unwrap();
         let site = tokio::task::spawn_blocking(start).await.unwrap();
         let server = Backend::start(AT_ONCE).await.unwrap();
         site.admin.tenant("acme", &spec(2_000), &[server.addr]).await.unwrap();
--- a/crates/tenancy/src/catalogue.rs
+++ b/crates/tenancy/src/catalogue.rs
@@ -207,7 +207,8 @@
 }
 
 /// One entry that a commit writes or removes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Write {
     /// A tenant's record; `None` removes it and its servers.
     Tenant(Uid, Option<TenantRecord>),
@@ -216,7 +217,7 @@
 }
 
 /// A change that is ready to be made durable and then applied.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Commit {
     /// The revision that it stands on: a store takes it only on top of this one.
     pub base: Revision,
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -166,6 +166,16 @@
     }
 }
 
+/// Where a tenant's servers come from, beside those that are documents of their own.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
+#[serde(deny_unknown_fields)]
+pub struct MembershipSpec {
+    /// The path, beneath the node's `zookeeper.pools`, under which its servers register as ephemeral nodes:
+    /// `NAME` or `NAME/NAME`. What is registered there rules over a document with the same id.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ephemeral: Option<String>,
+}
+
 /// A tenant, as an administrator writes it. Its servers are documents of their own.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
@@ -184,6 +194,13 @@
     /// What its pool goes by.
     #[serde(default)]
     pub pool: PoolSpec,
+    /// Where its servers come from, beside their documents.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub membership: MembershipSpec,
+}
+
+fn is_default(membership: &MembershipSpec) -> bool {
+    *membership == MembershipSpec::default()
 }
 
 /// Whether a server takes new work.
@@ -245,6 +262,11 @@
     (1..=LONGEST_ID).contains(&text.len()) && text.chars().all(fits) && text != "." && text != ".."
 }
 
+/// Whether a text is a path beneath another one, which it cannot leave.
+fn is_beneath(text: &str) -> bool {
+    text.len() <= 2 * LONGEST_ID && text.split('/').all(is_id)
+}
+
 /// Whether a text is an authority without a port, as requests are looked up by.
 fn is_authority(text: &str) -> bool {
     let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-.[]:".contains(c);
@@ -336,6 +358,10 @@
         if pool.report.len() > 8 || !pool.report.iter().all(|field| is_plain(field)) {
             fault("pool/report".into(), "give 8 names of visible ASCII at most");
         }
+        if self.membership.ephemeral.as_ref().is_some_and(|path| !is_beneath(path)) {
+            let right = "give NAME or NAME/NAME: names of letters, digits, '.', '_' and '-', 256 in all";
+            fault("membership/ephemeral".into(), right);
+        }
         faults
     }
 
@@ -398,7 +424,8 @@
                 "join": {"repeat": "unsafe", "deadline_ms": 9, "window_ms": 3, "late_share": 2}},
             "quota_per_s": -1, "share": {"weight": 0},
             "pool": {"max_attempts": 99, "start_capacity": 0, "fall_multiple": 0.5, "dial_timeout_ms": 0,
-                "keepalive_ms": 1, "ramp_ms": 99999999, "report": [""]}}"#,
+                "keepalive_ms": 1, "ramp_ms": 99999999, "report": [""]},
+            "membership": {"ephemeral": "../other"}}"#,
         );
         let fields: Vec<String> = spec.faults().into_iter().map(|fault| fault.field).collect();
         assert_eq!(
@@ -422,6 +449,7 @@
                 "pool/dial_timeout_ms",
                 "pool/keepalive_ms",
                 "pool/report",
+                "membership/ephemeral",
             ]
         );
     }
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -6,9 +6,8 @@
 use std::time::Duration;
 
 use tempfile::TempDir;
-use woodgap::hosted::config::{AdminConfig, HostedConfig, Listen};
+use woodgap::hosted::config::{AdminConfig, HostedConfig, Listen, StoreConfig};
 use woodgap::hosted::{spawn, Running};
-use woodgap::store::embedded::Embedded;
 use woodgap::store::Store;
 
 use crate::admin::Admin;
@@ -58,7 +57,7 @@
     /// # Errors
     /// Why it does not start.
     pub fn configured(change: impl FnOnce(&mut HostedConfig)) -> Result<Site, String> {
-        Site::with(change, |config| Box::new(Embedded::file(&config.store)))
+        Site::made(change, |_| None)
     }
 
     /// A node with a store of the caller's.
@@ -68,6 +67,13 @@
     pub fn with(
         change: impl FnOnce(&mut HostedConfig),
         store: impl FnOnce(&HostedConfig) -> Box<dyn Store>,
+    ) -> Result<Site, String> {
+        Site::made(change, |config| Some(store(config)))
+    }
+
+    fn made(
+        change: impl FnOnce(&mut HostedConfig),
+        store: impl FnOnce(&HostedConfig) -> Option<Box<dyn Store>>,
     ) -> Result<Site, String> {
         let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
         let token_file = folder.path().join("tokens.toml");
@@ -82,8 +88,9 @@
             held: 20_000,
             pool_idle: Duration::from_secs(10),
             listen: vec![Listen { name: "public".into(), address: any }],
-            store: folder.path().join("catalogue.redb"),
+            store: StoreConfig::File(folder.path().join("catalogue.redb")),
             admin: Some(AdminConfig { listen: any, token_file, connections: 32 }),
+            zookeeper: None,
         };
         change(&mut config);
         let store = store(&config);
@@ -94,6 +101,14 @@
         Ok(Site { addr, admin, node: Some(node), folder, config })
     }
 
+    /// The file of its catalogue, where it has one.
+    pub fn file(config: &HostedConfig) -> std::path::PathBuf {
+        match &config.store {
+            StoreConfig::File(path) => path.clone(),
+            StoreConfig::Shared(_) => std::path::PathBuf::new(),
+        }
+    }
+
     /// The address of a listener.
     pub fn listener(&self, name: &str) -> Option<SocketAddr> {
         let node = self.node.as_ref()?;
@@ -119,7 +134,7 @@
     /// Why it does not start.
     pub fn again(&mut self) -> Result<(), String> {
         self.stop()?;
-        let node = spawn(self.config.clone(), Box::new(Embedded::file(&self.config.store)))?;
+        let node = spawn(self.config.clone(), None)?;
         self.admin.addr = node.addresses.admin.ok_or("no administration API")?;
         self.addr = node.addresses.listeners.first().ok_or("no listener")?.1;
         self.node = Some(node);
