Test the coordination service's hard cases; count a server that flaps once

The tests found one fault: one server of two that went three times within two seconds counted as three of two, and was doubted for 30 s, though its box had told that it was gone. A server that came back is not counted as gone any more; going again and again is a flap.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -165,8 +165,8 @@
     source: Source,
     servers: BTreeMap<String, Held>,
     lost_since: Option<Millis>,
-    /// When servers were last taken away and believed to be.
-    went: VecDeque<Millis>,
+    /// Servers that were taken away of late, and believed to be, and have not come back.
+    went: VecDeque<(Millis, String)>,
     /// Servers in the view when the present moment began.
     before: usize,
 }
@@ -281,6 +281,8 @@
         }
         self.memory.insert(entry.id.clone(), memory);
         if let Some(view) = self.views.get_mut(&source) {
+            // One that goes and comes back is one, however often; that it does is a flap.
+            view.went.retain(|(_, id)| *id != entry.id);
             view.servers.insert(entry.id.clone(), Held { entry, doubted: None });
         }
     }
@@ -288,7 +290,7 @@
     fn went(&mut self, now: Millis, source: SourceId, gone: Vec<String>) {
         let Some(view) = self.views.get_mut(&source) else { return };
         let moment = self.bounds.moment;
-        view.went.retain(|at| now.saturating_sub(*at) < moment);
+        view.went.retain(|(at, _)| now.saturating_sub(*at) < moment);
         if view.went.is_empty() {
             view.before = view.servers.len();
         }
@@ -304,7 +306,7 @@
             if held.entry.draining {
                 away.push(id);
             } else if held.doubted.is_none() && view.went.len() < most {
-                view.went.push_back(now);
+                view.went.push_back((now, id.clone()));
                 away.push(id);
             } else {
                 held.doubted.get_or_insert(now + self.bounds.doubt);
--- a/crates/membership/tests/merge.rs
+++ b/crates/membership/tests/merge.rs
@@ -306,6 +306,23 @@
     gone(n..n + 1)
 }
 
+// One of two comes and goes within moments: each time it is believed that it went, as it is the only one.
+#[test]
+fn one_that_goes_again_and_again_is_one() {
+    let mut merge = merge(Bounds { flaps: 0, ..Bounds::default() });
+    merge.told(0, DAY, NODES, Told::Full(entries(0..2)));
+    for round in 1..6 {
+        merge.told(round * 100, DAY, NODES, gone(0..1));
+        assert_eq!(in_service(&mut merge, round * 100), 1, "{round}");
+        merge.told(round * 100 + 50, DAY, NODES, Told::Delta { entries: entries(0..1), gone: vec![] });
+        assert_eq!(in_service(&mut merge, round * 100 + 50), 2, "{round}");
+    }
+    // The other one as well: that is all of them at once.
+    merge.told(700, DAY, NODES, gone(0..1));
+    merge.told(710, DAY, NODES, gone(1..2));
+    assert_eq!(in_service(&mut merge, 710), 1);
+}
+
 // An administrator takes ten of twelve away, and a deploy brings and takes the same ones again and again:
 // that is what was meant. The same from a source of sessions is doubted.
 #[test]
--- /dev/null
+++ b/crates/node/tests/zookeeper.rs
@@ -0,0 +1,719 @@
+//! The hosted node with a coordination service over loopback: servers that register, nodes that do, and a
+//! catalogue that nodes share.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use woodgap::hosted::config::{HostedConfig, RegisterConfig, StoreConfig, ZookeeperConfig};
+use woodgap::store::shared::{Shared, LONGEST_COMMIT, MOST_LOG};
+use woodgap::store::{Store, StoreError};
+use woodgap_membership::Bounds;
+use woodgap_tenancy::{Catalogue, Condition, Edit};
+use woodgap_testkit::admin::{spec, Admin, If};
+use woodgap_testkit::backend::{second_effects, Backend, Does};
+use woodgap_testkit::client::{ask, Ask, Connection};
+use woodgap_testkit::coordination::tree::{Mode, Op};
+use woodgap_testkit::coordination::wire::{op, Coordination, Cut};
+use woodgap_testkit::hosted::Site;
+use woodgap_testkit::load::{run, Load};
+use woodgap_zookeeper::session::{Service, Settings};
+
+/// Longer than anything takes on a machine that works.
+const PATIENCE: Duration = Duration::from_secs(30);
+const AT_ONCE: Does = Does::Serve(Duration::ZERO);
+
+fn create(path: &str, data: &[u8], ephemeral: bool) -> Op {
+    let mode = Mode { ephemeral, sequential: false };
+    Op::Create { path: path.into(), data: data.to_vec(), acl: Vec::new(), mode }
+}
+
+async fn service() -> Coordination {
+    let service = Coordination::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let keeper = service.session();
+    for path in ["/pools", "/pools/web"] {
+        service.change(keeper, &create(path, b"", false)).unwrap();
+    }
+    service
+}
+
+fn settings(service: &Coordination) -> Settings {
+    Settings {
+        addresses: vec![service.addr.to_string()],
+        chroot: String::new(),
+        digest: None,
+        session: Duration::from_secs(4),
+    }
+}
+
+fn zookeeper(service: &Coordination) -> ZookeeperConfig {
+    ZookeeperConfig {
+        settings: settings(service),
+        digest_file: None,
+        pools: "/pools".into(),
+        bounds: Bounds::default(),
+        register: None,
+    }
+}
+
+async fn site(service: &Coordination, change: impl FnOnce(&mut HostedConfig) + Send + 'static) -> Site {
+    let zookeeper = zookeeper(service);
+    let change = move |config: &mut HostedConfig| {
+        config.zookeeper = Some(zookeeper);
+        change(config);
+    };
+    tokio::task::spawn_blocking(|| Site::configured(change).unwrap()).await.unwrap()
+}
+
+async fn shared(service: &Coordination) -> Site {
+    site(service, |config| config.store = StoreConfig::Shared("/catalogue".into())).await
+}
+
+/// A server registers; its session.
+fn register(service: &Coordination, name: &str, addr: SocketAddr, started_ms: u64) -> i64 {
+    let session = service.session();
+    let data = json!({"address": addr, "started_ms": started_ms}).to_string();
+    service.change(session, &create(&format!("/pools/web/{name}"), data.as_bytes(), true)).unwrap();
+    session
+}
+
+/// A tenant's document whose servers register.
+fn registered(deadline_ms: u64) -> Value {
+    let mut document = spec(deadline_ms);
+    document["membership"] = json!({"ephemeral": "web"});
+    document
+}
+
+/// Waits for a condition; how long that took.
+async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) -> Duration {
+    let start = Instant::now();
+    while !holds().await {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
+
+async fn status(admin: &Admin, tenant: &str) -> Value {
+    admin.get(&format!("tenants/{tenant}/status")).await.unwrap().body
+}
+
+/// The ids of a tenant's servers that take new work, of a pool that runs.
+async fn in_service(admin: &Admin, tenant: &str) -> Vec<String> {
+    let body = status(admin, tenant).await;
+    let servers = body["servers"].as_array().cloned().unwrap_or_default();
+    let serves = servers.iter().filter(|server| server["in_service"] == true);
+    serves.map(|server| server["id"].as_str().unwrap().to_owned()).collect()
+}
+
+async fn serves(addr: SocketAddr, tenant: &str) -> bool {
+    ask(addr, &Ask::lookup(tenant, format!("p{}", fastrand::u64(..)))).await.is_ok_and(|a| a.status == 200)
+}
+
+/// Asks without end, lookups and renews in turn; what was not answered 200, and how many were asked.
+fn traffic(
+    addr: SocketAddr,
+    tenant: &'static str,
+    stop: Arc<AtomicBool>,
+) -> tokio::task::JoinHandle<(Vec<String>, u64)> {
+    tokio::spawn(async move {
+        let (mut odd, mut asked) = (Vec::new(), 0);
+        let mut connection = Connection::open(addr).await.unwrap();
+        while !stop.load(Ordering::SeqCst) {
+            let txn = format!("{tenant}-{asked}");
+            let one = if asked % 2 == 0 { Ask::lookup(tenant, txn) } else { Ask::renew(tenant, txn) };
+            if !connection.is_open() {
+                connection = Connection::open(addr).await.unwrap();
+            }
+            match connection.ask(&one).await {
+                Ok(answer) if answer.status == 200 => {}
+                other => odd.push(format!("{asked}: {:?}", other.map(|answer| answer.status))),
+            }
+            asked += 1;
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        (odd, asked)
+    })
+}
+
+// A session ends while its box serves: within 500 ms nothing new reaches it, what it has is finished; registered
+// again as the process that it was, it has its share back as the warm box that it is.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_box_whose_session_ends_gets_nothing_new_and_is_not_cold_when_it_is_back() {
+    let service = service().await;
+    let (a, b) = (Backend::start(AT_ONCE).await.unwrap(), Backend::start(AT_ONCE).await.unwrap());
+    let mut session = register(&service, "a", a.addr, 7);
+    register(&service, "b", b.addr, 7);
+    let site = site(&service, |_| {}).await;
+    site.admin.tenant("acme", &registered(2_000), &[]).await.unwrap();
+    until("it serves", || serves(site.addr, "acme")).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(site.addr, "acme", stop.clone());
+    until("both are used", || async { a.requests() > 20 && b.requests() > 20 }).await;
+    // Requests that are at the box when its session ends.
+    a.does(Does::Hold);
+    let held: Vec<_> = (0..16)
+        .map(|n| {
+            let (addr, one) = (site.addr, Ask::renew("acme", format!("held{n}")));
+            tokio::spawn(async move { ask(addr, &one).await })
+        })
+        .collect();
+    let before = a.requests();
+    until("some are held", || async { a.requests() > before + 3 }).await;
+    service.end_session(session);
+    a.gone();
+    until("the node knows", || async { in_service(&site.admin, "acme").await == ["b"] }).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    a.does(AT_ONCE);
+    for one in held {
+        assert_eq!(one.await.unwrap().unwrap().status, 200);
+    }
+    let seen = a.requests();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!((a.requests(), a.late_sends()), (seen, 0));
+    // Back, without having stopped; then, for comparison, as a process that has just begun.
+    let mut share = Vec::new();
+    for started_ms in [7, 0] {
+        a.back();
+        let started_ms = if started_ms == 0 { now_ms() } else { started_ms };
+        session = register(&service, "a", a.addr, started_ms);
+        until("it is back", || async { in_service(&site.admin, "acme").await == ["a", "b"] }).await;
+        let (at_a, at_b) = (a.requests(), b.requests());
+        let load =
+            Load { addr: site.addr, per_s: 800.0, span: Duration::from_millis(1_000), connections: 64 };
+        let outcome = run(load, |n| Ask::lookup("acme", format!("s{started_ms}-{n}"))).await;
+        assert_eq!(outcome.lost + outcome.failed, 0, "{outcome:?}");
+        let (at_a, at_b) = (a.requests() - at_a, b.requests() - at_b);
+        share.push(at_a as f64 / (at_a + at_b) as f64);
+        service.end_session(session);
+        a.gone();
+        until("gone again", || async { in_service(&site.admin, "acme").await == ["b"] }).await;
+    }
+    eprintln!("shares: {share:?}");
+    assert!(share[0] > 0.35, "{share:?}");
+    assert!(share[1] < share[0], "{share:?}");
+    stop.store(true, Ordering::SeqCst);
+    let (odd, _) = asks.await.unwrap();
+    assert_eq!((odd, second_effects([&a, &b])), (Vec::<String>::new(), 0));
+}
+
+fn now_ms() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+// All sessions end at one moment, because the service itself stalled. A part is believed, and gets nothing new;
+// the others serve on until their time is up, or register again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn when_all_sessions_end_together_a_part_of_the_pool_stays() {
+    let service = service().await;
+    let mut boxes = Vec::new();
+    let mut sessions = Vec::new();
+    for n in 0..8 {
+        let backend = Backend::start(AT_ONCE).await.unwrap();
+        sessions.push(register(&service, &format!("s{n}"), backend.addr, 7));
+        boxes.push(backend);
+    }
+    let mut bounded = zookeeper(&service);
+    bounded.bounds = Bounds { vanish: 0.5, doubt: 1_500, ..Bounds::default() };
+    let site = site(&service, move |config| config.zookeeper = Some(bounded)).await;
+    site.admin.tenant("acme", &registered(2_000), &[]).await.unwrap();
+    until("all serve", || async {
+        serves(site.addr, "acme").await && in_service(&site.admin, "acme").await.len() == 8
+    })
+    .await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(site.addr, "acme", stop.clone());
+    until("traffic", || async { boxes.iter().map(Backend::requests).sum::<u64>() > 50 }).await;
+    service.end_sessions(&sessions);
+    until("half went", || async { in_service(&site.admin, "acme").await.len() == 4 }).await;
+    let left = in_service(&site.admin, "acme").await;
+    for (n, backend) in boxes.iter().enumerate() {
+        if !left.contains(&format!("s{n}")) {
+            backend.gone();
+        }
+    }
+    assert_eq!(status(&site.admin, "acme").await["sources"][1]["in_doubt"], 4);
+    let at_left = |boxes: &[Backend]| {
+        let of = |(n, backend): (usize, &Backend)| {
+            if left.contains(&format!("s{n}")) {
+                backend.requests()
+            } else {
+                0
+            }
+        };
+        boxes.iter().enumerate().map(of).sum::<u64>()
+    };
+    let before = at_left(&boxes);
+    until("the others serve on", || async { at_left(&boxes) > before + 100 }).await;
+    // One of those in doubt and one of those that went are back, with the processes that they were.
+    let back = &left[0];
+    let gone = (0..8).map(|n| format!("s{n}")).find(|id| !left.contains(id)).unwrap();
+    for id in [back, &gone] {
+        let backend = &boxes[id[1..].parse::<usize>().unwrap()];
+        backend.back();
+        register(&service, id, backend.addr, 7);
+    }
+    let mut stay = [back.clone(), gone.clone()];
+    stay.sort();
+    until("the rest went when their time was up", || async { in_service(&site.admin, "acme").await == stay })
+        .await;
+    stop.store(true, Ordering::SeqCst);
+    let (odd, asked) = asks.await.unwrap();
+    assert!(odd.is_empty(), "{odd:?} of {asked}");
+    assert_eq!(boxes.iter().map(Backend::late_sends).sum::<u64>(), 0);
+    assert_eq!(second_effects(&boxes), 0);
+}
+
+// Out of reach for longer than any session: traffic goes on with the last view, and what changed meanwhile is
+// known within 2 s of its return.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn traffic_goes_on_while_the_service_is_out_of_reach() {
+    let service = service().await;
+    let (a, b, c) = (
+        Backend::start(AT_ONCE).await.unwrap(),
+        Backend::start(AT_ONCE).await.unwrap(),
+        Backend::start(AT_ONCE).await.unwrap(),
+    );
+    register(&service, "a", a.addr, 7);
+    let b_session = register(&service, "b", b.addr, 7);
+    let site = site(&service, |_| {}).await;
+    site.admin.tenant("acme", &registered(2_000), &[]).await.unwrap();
+    until("it serves", || serves(site.addr, "acme")).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(site.addr, "acme", stop.clone());
+    service.refuse(service.addr, true);
+    until("the loss shows", || async { status(&site.admin, "acme").await["sources"][1]["lost_ms"].is_u64() })
+        .await;
+    let node = service.connected();
+    assert!(node.is_empty(), "{node:?}");
+    service.end_session(b_session);
+    register(&service, "c", c.addr, 7);
+    let (at_a, at_b) = (a.requests(), b.requests());
+    until("both serve on", || async { a.requests() > at_a + 50 && b.requests() > at_b + 50 }).await;
+    assert_eq!((in_service(&site.admin, "acme").await, c.requests()), (vec!["a".into(), "b".into()], 0));
+    service.refuse(service.addr, false);
+    let took = until("corrected", || async { in_service(&site.admin, "acme").await == ["a", "c"] }).await;
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    b.gone();
+    until("c is used", || async { c.requests() > 20 }).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    stop.store(true, Ordering::SeqCst);
+    let (odd, asked) = asks.await.unwrap();
+    assert!(odd.is_empty(), "{odd:?} of {asked}");
+    assert_eq!((b.late_sends(), second_effects([&a, &b, &c])), (0, 0));
+}
+
+// A box says that it drains before its session ends; what cannot be read is left out and shown; a document with
+// the same id is ruled by the registration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drains_and_faults_of_registrations_are_told() {
+    let service = service().await;
+    let (a, b) = (Backend::start(AT_ONCE).await.unwrap(), Backend::start(AT_ONCE).await.unwrap());
+    let session = register(&service, "s0", a.addr, 7);
+    let odd = service.session();
+    service.change(odd, &create("/pools/web/odd", b"{\"address\": 7}", true)).unwrap();
+    let site = site(&service, |_| {}).await;
+    // The documents s0 and s1.
+    site.admin.tenant("acme", &registered(2_000), &[a.addr, b.addr]).await.unwrap();
+    until("it serves", || serves(site.addr, "acme")).await;
+    until("both", || async { in_service(&site.admin, "acme").await == ["s0", "s1"] }).await;
+    let body = status(&site.admin, "acme").await;
+    assert_eq!(body["left_out"][0]["child"], "odd", "{body}");
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(site.addr, "acme", stop.clone());
+    let data = json!({"address": a.addr, "started_ms": 7, "phase": "terminating"}).to_string();
+    let set = Op::Set { path: "/pools/web/s0".into(), data: data.into_bytes(), version: -1 };
+    service.change(session, &set).unwrap();
+    a.gone();
+    until("s0 drains", || async { in_service(&site.admin, "acme").await == ["s1"] }).await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    service.end_session(session);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // Its document is still there, and does not bring it back.
+    assert_eq!(in_service(&site.admin, "acme").await, ["s1"]);
+    stop.store(true, Ordering::SeqCst);
+    let (odd, _) = asks.await.unwrap();
+    assert!(odd.is_empty(), "{odd:?}");
+    assert_eq!(a.late_sends(), 0);
+    // Without its path the tenant goes by its documents again.
+    let seen = site.admin.get("tenants/acme").await.unwrap().etag.unwrap();
+    assert_eq!(site.admin.put("tenants/acme", If::Match(&seen), &spec(2_000)).await.unwrap().status, 200);
+    a.back();
+    until("both documents count", || async { in_service(&site.admin, "acme").await == ["s0", "s1"] }).await;
+    until("nothing is watched", || async { service.watches() == 0 }).await;
+}
+
+// A node registers, and is off the list before it has let its last request go.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_takes_itself_off_before_it_drains() {
+    let service = service().await;
+    let mut own = zookeeper(&service);
+    own.register = Some(RegisterConfig { path: "/nodes".into(), address: Some("192.0.2.1:80".into()) });
+    let mut site = site(&service, move |config| config.zookeeper = Some(own)).await;
+    until("registered", || async { service.node("/nodes/n1").is_some() }).await;
+    let (data, stat) = service.node("/nodes/n1").unwrap();
+    let data: Value = serde_json::from_slice(&data).unwrap();
+    assert_eq!((&data["address"], &data["protocols"]), (&json!("192.0.2.1:80"), &json!(["http1"])));
+    assert_ne!(stat.ephemeral_owner, 0);
+    let backend = Backend::start(Does::Hold).await.unwrap();
+    site.admin.tenant("acme", &spec(5_000), &[backend.addr]).await.unwrap();
+    let (addr, one) = (site.addr, Ask::lookup("acme", "held").within(Duration::from_secs(5)));
+    let held = tokio::spawn(async move { ask(addr, &one).await });
+    until("held", || async { backend.requests() == 1 }).await;
+    let node = site.node.take().unwrap();
+    let stopped = tokio::task::spawn_blocking(move || node.stop());
+    until("it is off the list", || async { service.node("/nodes/n1").is_none() }).await;
+    assert!(!held.is_finished());
+    backend.does(AT_ONCE);
+    assert_eq!(held.await.unwrap().unwrap().status, 200);
+    stopped.await.unwrap().unwrap();
+    until("its session is closed", || async { service.connected().is_empty() }).await;
+}
+
+// A change through one node takes effect at all of them, in the order in which it was made.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_through_one_node_takes_effect_at_all() {
+    let service = service().await;
+    let mut nodes = Vec::new();
+    for _ in 0..3 {
+        nodes.push(shared(&service).await);
+    }
+    let (a, b) = (Backend::start(AT_ONCE).await.unwrap(), Backend::start(AT_ONCE).await.unwrap());
+    nodes[0].admin.tenant("acme", &spec(2_000), &[a.addr]).await.unwrap();
+    for node in &nodes {
+        until("it is served", || serves(node.addr, "acme")).await;
+    }
+    // A server is added through another node, the first is taken away through the third.
+    let server = json!({"address": b.addr, "started_ms": 0});
+    let put = nodes[1].admin.put("tenants/acme/backends/s9", If::Absent, &server).await.unwrap();
+    assert_eq!(put.status, 201, "{put:?}");
+    until("the third knows", || async {
+        nodes[2].admin.get("tenants/acme/backends/s9").await.unwrap().status == 200
+    })
+    .await;
+    assert_eq!(nodes[2].admin.remove("tenants/acme/backends/s0").await.unwrap().status, 200);
+    for node in &nodes {
+        until("b alone", || async { in_service(&node.admin, "acme").await == ["s9"] }).await;
+        assert!(serves(node.addr, "acme").await);
+    }
+    // Deleted through one: taken by none, gone at all of them.
+    assert_eq!(nodes[1].admin.remove("tenants/acme").await.unwrap().status, 202);
+    for node in &nodes {
+        until("it is gone", || async {
+            let answer = ask(node.addr, &Ask::lookup("acme", "x")).await.unwrap();
+            answer.status == 404
+                && node.admin.get("tenants?state=draining").await.unwrap().body["tenants"] == json!([])
+        })
+        .await;
+    }
+    // The same history everywhere.
+    let history = |node: &Site| {
+        let admin = node.admin.clone();
+        async move { admin.get("changes?after=0&limit=500").await.unwrap().body["changes"].clone() }
+    };
+    let first = history(&nodes[0]).await;
+    assert_eq!(first.as_array().unwrap().len(), 6, "{first}");
+    for node in &nodes[1..] {
+        until("the same history", || async { history(node).await == first }).await;
+    }
+    // A node that starts later has it too.
+    let late = shared(&service).await;
+    assert_eq!(history(&late).await, first);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_administrators_at_two_nodes_never_overwrite_one_another() {
+    let service = service().await;
+    let (one, two) = (shared(&service).await, shared(&service).await);
+    one.admin.tenant("acme", &spec(2_000), &[]).await.unwrap();
+    one.admin.tenant("other", &spec(2_000), &[]).await.unwrap();
+    until("the second knows", || async { two.admin.get("tenants/other").await.unwrap().status == 200 }).await;
+    let add = |admin: Admin, name: &'static str| async move {
+        let (mut made, mut lost) = (0, 0);
+        while made < 50 {
+            let seen = admin.get(&format!("tenants/{name}")).await.unwrap();
+            let mut document = seen.body["spec"].clone();
+            document["quota_per_s"] = json!(document["quota_per_s"].as_f64().unwrap() + 1.0);
+            let path = format!("tenants/{name}");
+            let put = admin.put(&path, If::Match(&seen.etag.unwrap()), &document).await.unwrap();
+            match put.status {
+                200 => made += 1,
+                412 => lost += 1,
+                other => panic!("{other}: {put:?}"),
+            }
+        }
+        lost
+    };
+    // Two at one document, and a third at another one: it is in nobody's way, whatever the others write.
+    let (first, second, alone) = tokio::join!(
+        tokio::spawn(add(one.admin.clone(), "acme")),
+        tokio::spawn(add(two.admin.clone(), "acme")),
+        tokio::spawn(add(two.admin.clone(), "other")),
+    );
+    let (_, _, alone) = (first.unwrap(), second.unwrap(), alone.unwrap());
+    assert_eq!(alone, 0);
+    for node in [&one, &two] {
+        for (name, quota) in [("acme", 100.0), ("other", 50.0)] {
+            until("every write counts", || async {
+                node.admin.get(&format!("tenants/{name}")).await.unwrap().body["spec"]["quota_per_s"] == quota
+            })
+            .await;
+        }
+    }
+}
+
+// Out of reach, a node serves on, says so of what it tells, and takes no change; back, all is as before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_catalogue_out_of_reach_is_read_as_stale_and_not_written() {
+    let service = service().await;
+    let (one, two) = (shared(&service).await, shared(&service).await);
+    let backend = Backend::start(AT_ONCE).await.unwrap();
+    one.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
+    until("the second serves", || serves(two.addr, "acme")).await;
+    assert_eq!(two.admin.get("tenants/acme").await.unwrap().stale, None);
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(two.addr, "acme", stop.clone());
+    service.refuse(service.addr, true);
+    until("marked as stale", || async { two.admin.get("tenants/acme").await.unwrap().stale.is_some() }).await;
+    let started = Instant::now();
+    let put = two.admin.put("tenants/new", If::Absent, &spec(2_000)).await.unwrap();
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+    assert_eq!((put.status, put.kind.as_str()), (503, "application/problem+json"), "{put:?}");
+    assert!(put.body["detail"].as_str().unwrap().contains("out of reach"), "{put:?}");
+    let read = two.admin.get("tenants/acme").await.unwrap();
+    assert_eq!((read.status, read.body["name"].as_str()), (200, Some("acme")));
+    service.refuse(service.addr, false);
+    let took =
+        until("fresh again", || async { two.admin.get("tenants/acme").await.unwrap().stale.is_none() }).await;
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    assert_eq!(two.admin.put("tenants/new", If::Absent, &spec(2_000)).await.unwrap().status, 201);
+    until("the first knows", || async { one.admin.get("tenants/new").await.unwrap().status == 200 }).await;
+    stop.store(true, Ordering::SeqCst);
+    let (odd, asked) = asks.await.unwrap();
+    assert!(odd.is_empty(), "{odd:?} of {asked}");
+}
+
+// The connection drops between a change and its answer, before or after it is carried out; the node's session
+// ends as well: the change is made once, and acknowledged.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_whose_answer_is_lost_is_made_once() {
+    let service = service().await;
+    let node = shared(&service).await;
+    node.admin.tenant("acme", &spec(2_000), &[]).await.unwrap();
+    for (n, cut) in [Cut::Unanswered, Cut::Unseen, Cut::Unanswered].into_iter().enumerate() {
+        let writes = service.requests(op::MULTI);
+        service.cut(op::MULTI, cut);
+        let put = node.admin.put(&format!("tenants/t{n}"), If::Absent, &spec(2_000)).await.unwrap();
+        assert_eq!((put.status, service.is_cut_due()), (201, false), "{put:?}");
+        assert_eq!(service.requests(op::MULTI) - writes, 1, "{cut:?}");
+        assert_eq!(put.body["revision"], 2 + n as u64);
+    }
+    // A server of its own comes back under the same circumstances.
+    let server = json!({"address": "127.0.0.1:9"});
+    service.cut(op::MULTI, Cut::Unanswered);
+    let put = node.admin.put("tenants/acme/backends/s", If::Absent, &server).await.unwrap();
+    assert_eq!(put.status, 201);
+    service.cut(op::MULTI, Cut::Unanswered);
+    let gone = node.admin.delete("tenants/acme/backends/s", If::Match(&put.etag.unwrap())).await.unwrap();
+    assert_eq!(gone.status, 200);
+    let changes = node.admin.get("changes?after=0").await.unwrap().body;
+    assert_eq!(changes["changes"].as_array().unwrap().len(), 6, "{changes}");
+}
+
+// The service is started again without its data: what was lost there is not lost here.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_catalogue_that_went_back_is_not_taken_over() {
+    let service = service().await;
+    let mut node = shared(&service).await;
+    let backend = Backend::start(AT_ONCE).await.unwrap();
+    node.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
+    until("it serves", || serves(node.addr, "acme")).await;
+    service.restart(false);
+    until("it is noticed", || async { node.admin.get("tenants/acme").await.unwrap().stale.is_some() }).await;
+    let put = |name: &'static str| {
+        let admin = node.admin.clone();
+        async move { admin.put(&format!("tenants/{name}"), If::Absent, &spec(2_000)).await.unwrap() }
+    };
+    until("the service is back", || async {
+        put("new").await.body["detail"].as_str().is_some_and(|why| why.contains("restore"))
+    })
+    .await;
+    assert!(serves(node.addr, "acme").await);
+    // Another node begins a catalogue of its own there, and gets further than ours was.
+    let other = shared(&service).await;
+    for name in ["x", "y", "z"] {
+        other.admin.tenant(name, &spec(2_000), &[]).await.unwrap();
+    }
+    let refused = put("new").await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.body["detail"].as_str().unwrap().contains("another catalogue"), "{refused:?}");
+    assert!(serves(node.addr, "acme").await);
+    assert_eq!(node.admin.get("tenants/x").await.unwrap().status, 404);
+    // Restarted, it takes over what is there.
+    let again = move || {
+        node.again().unwrap();
+        node
+    };
+    let node = tokio::task::spawn_blocking(again).await.unwrap();
+    assert_eq!(node.admin.get("tenants/x").await.unwrap().status, 200);
+}
+
+// The node's own session ends while it serves: its pools, its catalogue and its registration are right again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_whose_own_session_ends_serves_on() {
+    let service = service().await;
+    let mut own = zookeeper(&service);
+    own.register = Some(RegisterConfig { path: "/nodes".into(), address: None });
+    let node = site(&service, move |config| {
+        config.zookeeper = Some(own);
+        config.store = StoreConfig::Shared("/catalogue".into());
+    })
+    .await;
+    let (a, b) = (Backend::start(AT_ONCE).await.unwrap(), Backend::start(AT_ONCE).await.unwrap());
+    register(&service, "a", a.addr, 7);
+    node.admin.tenant("acme", &registered(2_000), &[]).await.unwrap();
+    until("it serves", || serves(node.addr, "acme")).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(node.addr, "acme", stop.clone());
+    for n in 0..3 {
+        let owner = service.node("/nodes/n1").unwrap().1.ephemeral_owner;
+        service.end_session(owner);
+        let session = register(&service, "b", b.addr, 7);
+        let took = until("b", || async { in_service(&node.admin, "acme").await == ["a", "b"] }).await;
+        assert!(took < Duration::from_secs(2), "{took:?}");
+        until("registered again", || async {
+            service.node("/nodes/n1").is_some_and(|(_, stat)| stat.ephemeral_owner != owner)
+        })
+        .await;
+        let put = node.admin.put(&format!("tenants/t{n}"), If::Absent, &spec(2_000)).await.unwrap();
+        assert_eq!(put.status, 201, "{put:?}");
+        service.end_session(session);
+        until("b went", || async { in_service(&node.admin, "acme").await == ["a"] }).await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    let (odd, asked) = asks.await.unwrap();
+    assert!(odd.is_empty(), "{odd:?} of {asked}");
+}
+
+fn document(text: &str) -> woodgap_tenancy::TenantSpec {
+    serde_json::from_str(text).unwrap()
+}
+
+fn small() -> woodgap_tenancy::TenantSpec {
+    document(r#"{"classes": {"lookup": {"repeat": "safe", "deadline_ms": 2000}}}"#)
+}
+
+fn put(
+    store: &mut dyn Store,
+    catalogue: &mut Catalogue,
+    name: String,
+    spec: woodgap_tenancy::TenantSpec,
+) -> Result<(), StoreError> {
+    let seen = match catalogue.active(&name) {
+        Some(tenant) => Condition::Seen(woodgap_tenancy::Etag(tenant.revision)),
+        None => Condition::Absent,
+    };
+    let commit = catalogue.prepare(Edit::PutTenant { tenant: name, spec }, seen, "op", 7).unwrap();
+    store.commit(&commit)?;
+    catalogue.apply(commit).unwrap();
+    Ok(())
+}
+
+// A node that lags behind takes commits from the log, and everything where the log no longer reaches; a node that
+// starts while others write has the last revision whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_read_while_others_write_is_one_revision_whole() {
+    let service = service().await;
+    let settings = settings(&service);
+    let check = move || {
+        let connect = || Service::start(settings.clone()).unwrap();
+        let (writes, reads) = (connect(), connect());
+        let mut writer = Shared::open(&writes, "/catalogue");
+        let mut catalogue = writer.load().unwrap();
+        assert_eq!(catalogue.revision(), 0);
+        for n in 0..100 {
+            put(&mut writer, &mut catalogue, format!("t{}", n % 40), small()).unwrap();
+        }
+        let mut reader = Shared::open(&reads, "/catalogue");
+        let mut early = reader.load().unwrap();
+        assert!(early == catalogue);
+        let done = AtomicBool::new(false);
+        let (wrote, loads) = std::thread::scope(|scope| {
+            let reader = scope.spawn(|| {
+                let mut loads = Vec::new();
+                while !done.load(Ordering::SeqCst) {
+                    loads.push(reader.load().unwrap());
+                }
+                loads
+            });
+            for n in 0..MOST_LOG {
+                let name = format!("t{}", n % 60);
+                if n % 7 == 3 && catalogue.active(&name).is_some() {
+                    let tenant = catalogue.active(&name).unwrap();
+                    let (uid, seen) = (tenant.uid, woodgap_tenancy::Etag(tenant.revision));
+                    for edit in [Edit::DeleteTenant { tenant: name }, Edit::Finish { uid }] {
+                        let commit = catalogue.prepare(edit, Condition::Seen(seen), "op", 7).unwrap();
+                        writer.commit(&commit).unwrap();
+                        catalogue.apply(commit).unwrap();
+                    }
+                } else {
+                    put(&mut writer, &mut catalogue, name, small()).unwrap();
+                }
+            }
+            done.store(true, Ordering::SeqCst);
+            (catalogue.clone(), reader.join().unwrap())
+        });
+        assert!(loads.len() > 3, "{}", loads.len());
+        // Each of them is the catalogue as it was at its revision: the commits after it make the last one of it.
+        for mut load in loads {
+            let Some(commits) = writer.after(load.revision()).unwrap() else { continue };
+            for commit in commits {
+                load.apply(commit).unwrap();
+            }
+            let same = load.tenants().eq(wrote.tenants()) && load.revision() == wrote.revision();
+            assert!(same, "a load at {} went wrong", load.revision());
+        }
+        // Too far behind for the log.
+        let mut reader = Shared::open(&reads, "/catalogue");
+        assert!(reader.after(early.revision()).unwrap().is_none());
+        early = reader.load().unwrap();
+        assert!(early.tenants().eq(wrote.tenants()));
+        // A conflict writes nothing.
+        let old = Catalogue::default().prepare(
+            Edit::PutTenant { tenant: "z".into(), spec: small() },
+            Condition::Absent,
+            "op",
+            7,
+        );
+        assert!(matches!(reader.commit(&old.unwrap()), Err(StoreError::Conflict { base: 0, .. })));
+        // More than is taken at once is refused whole.
+        let mut long = small();
+        long.matches.orgs = (0..64).map(|n| format!("{n}{}", "x".repeat(LONGEST_COMMIT / 64))).collect();
+        let commit = woodgap_tenancy::Commit {
+            base: early.revision(),
+            change: early
+                .prepare(Edit::PutTenant { tenant: "z".into(), spec: small() }, Condition::Absent, "op", 7)
+                .unwrap()
+                .change,
+            writes: vec![woodgap_tenancy::catalogue::Write::Tenant(
+                woodgap_tenancy::Uid(early.revision() + 1),
+                Some(woodgap_tenancy::catalogue::TenantRecord {
+                    name: "z".into(),
+                    state: woodgap_tenancy::State::Active,
+                    revision: early.revision() + 1,
+                    spec: long,
+                }),
+            )],
+        };
+        let refused = reader.commit(&commit);
+        assert!(
+            matches!(refused, Err(StoreError::TooLong { bytes, .. }) if bytes > LONGEST_COMMIT),
+            "{refused:?}"
+        );
+        assert_eq!(reader.load().unwrap().revision(), early.revision());
+    };
+    tokio::task::spawn_blocking(check).await.unwrap();
+}
--- a/crates/testkit/src/admin.rs
+++ b/crates/testkit/src/admin.rs
@@ -17,6 +17,8 @@
     pub status: u16,
     /// Its entity tag.
     pub etag: Option<String>,
+    /// For how many seconds the shared catalogue has been out of reach, where it is.
+    pub stale: Option<u64>,
     /// Its media type.
     pub kind: String,
     /// Its body; null where it is no JSON.
@@ -75,6 +77,7 @@
         Ok(Reply {
             status: answer.status.as_u16(),
             etag: text("etag"),
+            stale: text("x-catalogue-stale").and_then(|age| age.parse().ok()),
             kind: text("content-type").unwrap_or_default(),
             body: serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
         })
