Add the proof ephemeral: expiry, an outage, a shared catalogue, churn

The change: sessions ended under traffic beside a stand-in discovery with the site's notice times, the service out of reach under load, five nodes with one catalogue, 100,000 changes of registrations.

--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -202,9 +202,8 @@
     };
     // Off the list first: whoever reads it sends no more.
     let leave = async {
-        match &registration {
-            Some(registration) => drop(registration.withdraw(WITHDRAW).await),
-            None => {}
+        if let Some(registration) = &registration {
+            registration.withdraw(WITHDRAW).await;
         }
     };
     tokio::select! {
--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -4,6 +4,7 @@
 //! the names. What broke a rule is counted by the stand-ins, not by the node. It exits 0 when it could
 //! measure, whatever the figures.
 
+mod ephemeral;
 mod process;
 mod tenants;
 
@@ -40,16 +41,32 @@
         #[arg(long)]
         only: Option<String>,
     },
+    /// Servers as ephemeral nodes, and a catalogue that nodes share.
+    Ephemeral {
+        /// A whole minute out of reach, and more changes.
+        #[arg(long)]
+        long: bool,
+        /// One part alone: expiry, outage, catalogue or churn.
+        #[arg(long)]
+        only: Option<String>,
+    },
 }
 
 fn main() -> ExitCode {
-    let Proof::Tenants { long, before, platform, flood, only } = Line::parse().proof;
+    let proof = Line::parse().proof;
     // The load and the stand-ins leave a core for the node.
     let threads =
         std::thread::available_parallelism().map_or(1, |cores| cores.get().saturating_sub(1)).max(1);
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
     let measured = runtime.map_err(Into::into).and_then(|runtime| {
-        runtime.block_on(tenants::measure(long, before, platform, flood, only.as_deref()))
+        runtime.block_on(async {
+            match proof {
+                Proof::Tenants { long, before, platform, flood, only } => {
+                    tenants::measure(long, before, platform, flood, only.as_deref()).await
+                }
+                Proof::Ephemeral { long, only } => ephemeral::measure(long, only.as_deref()).await,
+            }
+        })
     });
     match measured {
         Ok(figures) => {
--- a/crates/proof/src/tenants.rs
+++ b/crates/proof/src/tenants.rs
@@ -24,7 +24,8 @@
     (quantile(&sorted, 0.5), quantile(&sorted, 0.0), quantile(&sorted, 1.0))
 }
 
-fn rounded(figure: f64) -> f64 {
+/// To four places.
+pub fn rounded(figure: f64) -> f64 {
     (figure * 1e4).round() / 1e4
 }
 
