--- a/crates/node/src/hosted/ephemeral.rs
+++ b/crates/node/src/hosted/ephemeral.rs
@@ -160,3 +160,76 @@
         self.paths.get(path).map(|held| held.faults.clone()).unwrap_or_default()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+    use woodgap_zookeeper::session::Settings;
+
+    fn paths() -> (Paths, mpsc::UnboundedReceiver<Command>) {
+        let settings = Settings {
+            // Nobody is there: news are made here.
+            addresses: vec!["127.0.0.1:1".into()],
+            chroot: String::new(),
+            digest: None,
+            session: Duration::from_secs(4),
+        };
+        let (plane, commands) = mpsc::unbounded_channel();
+        let service = Service::start(settings).unwrap();
+        (Paths::new(service, "/pools".into(), Bounds::default(), &plane), commands)
+    }
+
+    fn news(sizes: &[f64]) -> News {
+        let entry = |(n, &size): (usize, &f64)| Entry {
+            id: format!("s{n}"),
+            address: ([127, 0, 0, 1], 1_000 + n as u16).into(),
+            zone: String::new(),
+            cell: 0,
+            size,
+            started_ms: Some(7),
+            draining: false,
+        };
+        News { told: Told::Full(sizes.iter().enumerate().map(entry).collect()), faults: Vec::new() }
+    }
+
+    fn sizes(paths: &Paths) -> Vec<f64> {
+        match paths.told("web") {
+            Some((_, Told::Full(entries), _)) => entries.iter().map(|entry| entry.size).collect(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    // Rule 4 over tenants: a cold server gets from all that share it what it would get from one.
+    #[test]
+    fn tenants_that_share_a_path_share_its_servers() {
+        let (mut paths, _commands) = paths();
+        let (source, read) = paths.join("web", Uid(1)).unwrap();
+        assert!(!read && paths.told("web").is_none());
+        assert_eq!(*paths.unread().borrow(), 1);
+        assert!(paths.heard("web", source, news(&[1.0, 3.0])));
+        assert_eq!((sizes(&paths), *paths.unread().borrow()), (vec![1.0, 3.0], 0));
+        assert_eq!(paths.join("web", Uid(2)), Some((source, true)));
+        assert_eq!((sizes(&paths), paths.tenants("web")), (vec![0.5, 1.5], vec![Uid(1), Uid(2)]));
+        paths.leave("web", Uid(1));
+        assert_eq!(sizes(&paths), [1.0, 3.0]);
+        paths.leave("web", Uid(2));
+        // What is still on its way of a path that nobody names is not taken.
+        assert!(!paths.heard("web", source, news(&[1.0])) && paths.told("web").is_none());
+        // Named again it is another source, which has not been read.
+        let (again, read) = paths.join("web", Uid(3)).unwrap();
+        assert!(again > source && !read && !paths.heard("web", source, news(&[1.0])));
+    }
+
+    #[test]
+    fn a_path_that_is_lost_keeps_what_was_read() {
+        let (mut paths, _commands) = paths();
+        let (source, _) = paths.join("web", Uid(1)).unwrap();
+        // Lost before it was read: there is nothing to tell.
+        paths.heard("web", source, News { told: Told::Lost, faults: Vec::new() });
+        assert!(paths.told("web").is_none() && *paths.unread().borrow() == 1);
+        paths.heard("web", source, news(&[1.0]));
+        paths.heard("web", source, News { told: Told::Lost, faults: Vec::new() });
+        assert!(matches!(paths.told("web"), Some((_, Told::Full(entries), true)) if entries.len() == 1));
+    }
+}
--- a/crates/node/tests/zookeeper.rs
+++ b/crates/node/tests/zookeeper.rs
@@ -346,6 +346,43 @@
     until("nothing is watched", || async { service.watches() == 0 }).await;
 }
 
+// A tenant's servers come from another path from now on, which takes its time to be read: until then the old ones
+// count. And a node that starts reads the paths before it takes requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_path_that_is_slow_to_read_leaves_nobody_without_servers() {
+    let service = service().await;
+    let (a, b) = (Backend::start(AT_ONCE).await.unwrap(), Backend::start(AT_ONCE).await.unwrap());
+    register(&service, "a", a.addr, 7);
+    let keeper = service.session();
+    service.change(keeper, &create("/pools/new", b"", false)).unwrap();
+    let data = json!({"address": b.addr, "started_ms": 7}).to_string();
+    service.change(keeper, &create("/pools/new/b", data.as_bytes(), true)).unwrap();
+    let mut site = site(&service, |_| {}).await;
+    site.admin.tenant("acme", &registered(2_000), &[]).await.unwrap();
+    until("it serves", || serves(site.addr, "acme")).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let asks = traffic(site.addr, "acme", stop.clone());
+    service.delay(Duration::from_millis(300));
+    let mut moved = registered(2_000);
+    moved["membership"]["ephemeral"] = json!("new");
+    let seen = site.admin.get("tenants/acme").await.unwrap().etag.unwrap();
+    assert_eq!(site.admin.put("tenants/acme", If::Match(&seen), &moved).await.unwrap().status, 200);
+    let before = a.requests();
+    until("the old one counts meanwhile", || async { a.requests() > before + 20 }).await;
+    until("moved", || async { in_service(&site.admin, "acme").await == ["b"] }).await;
+    a.gone();
+    stop.store(true, Ordering::SeqCst);
+    let (odd, asked) = asks.await.unwrap();
+    assert!(odd.is_empty(), "{odd:?} of {asked}");
+    let again = move || {
+        site.again().unwrap();
+        site
+    };
+    let site = tokio::task::spawn_blocking(again).await.unwrap();
+    assert!(serves(site.addr, "acme").await, "the first request after the start");
+    assert_eq!(a.late_sends(), 0);
+}
+
 // A node registers, and is off the list before it has let its last request go.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_node_takes_itself_off_before_it_drains() {
--- a/crates/proof/src/ephemeral.rs
+++ b/crates/proof/src/ephemeral.rs
@@ -93,10 +93,10 @@
     }
 }
 
-/// How long after a moment the last request came to a server, within the window; 0 where none did.
-fn last_send_ms(server: &Backend, since: Instant) -> f64 {
+/// How long after a moment the last request came to a server, up to another moment; 0 where none did.
+fn last_send_ms(server: &Backend, since: Instant, until: Instant) -> f64 {
     let seen = server.seen();
-    let after = seen.iter().rev().map(|seen| seen.at).find(|at| *at < since + WINDOW);
+    let after = seen.iter().rev().map(|seen| seen.at).find(|at| *at < until);
     after.and_then(|at| at.checked_duration_since(since)).map_or(0.0, |late| late.as_secs_f64() * 1e3)
 }
 
@@ -200,10 +200,12 @@
             boxes[id].gone();
             discovery.tell(2 * n as u64 + 2, &format!("s-{id}"), gone);
             tokio::time::sleep(WINDOW).await;
-            let (from_end, from_told) = (last_send_ms(&boxes[id], told), last_send_ms(&boxes[id], told));
+            let until = told + WINDOW;
+            let from = |since| last_send_ms(&boxes[id], since, until);
+            let (from_end, from_told) = (from(ended), from(told));
             boxes[id].back();
             discovery.tell(2 * n as u64 + 3, &format!("s-{id}"), back);
-            (from_end + (told - ended).as_secs_f64() * 1e3, from_told)
+            (from_end, from_told)
         });
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
@@ -244,7 +246,7 @@
             boxes[id].gone();
             service.end_session(session);
             tokio::time::sleep(WINDOW).await;
-            let last = last_send_ms(&boxes[id], ended);
+            let last = last_send_ms(&boxes[id], ended, ended + WINDOW);
             boxes[id].back();
             let again = register(&service, &format!("s{id}"), boxes[id].addr).map_err(|e| e.to_string())?;
             sessions.lock().unwrap_or_else(PoisonError::into_inner)[id] = again;
