Withdraw an HTTP/3 request that its client gives up; cut off who only gives up

h3-quinn tells of STOP_SENDING only when something is written, so the streams are adapted here (front/quic). A request that is given up is dropped: its attempt ends, its place is free, nothing is sent again. Beyond 256 given up more than answered the connection is closed with H3_EXCESSIVE_LOAD. Answers that nobody reads are given up on after 5 s.

A certificate whose key does not belong to it is not taken on SIGHUP; what was there stays.

--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -28,6 +28,7 @@
 
 use super::clients::{plain, Clients, LONGEST_HEAD, MOST_HEADERS};
 use super::conn::{Conn, Phase, SLOW};
+use super::quic::{self, Stops};
 use super::request::Fault;
 use crate::meter::{metered, Meter};
 use crate::task::{Budget, Permit};
@@ -42,6 +43,10 @@
 const HANDSHAKE: Duration = Duration::from_secs(3);
 /// A connection on which nothing comes for this long is over.
 const IDLE: Duration = Duration::from_secs(30);
+/// An answer that its client does not read for this long is given up on.
+const UNREAD: Duration = Duration::from_secs(5);
+/// Requests that a client may give up beyond those that it let be answered; one that goes on is cut off.
+pub const MOST_GIVEN_UP: u32 = 256;
 /// Bytes that a client may send ahead on one stream, and on all of a connection.
 const STREAM_WINDOW: u32 = (LONGEST_BODY + LONGEST_HEAD) as u32;
 const WINDOW: u32 = 4 * STREAM_WINDOW;
@@ -81,7 +86,7 @@
 
 /// A request's body as it comes on its stream, held against the length that its head gives.
 struct Incoming3 {
-    stream: RequestStream<h3_quinn::RecvStream, Bytes>,
+    stream: RequestStream<quic::Receive, Bytes>,
     /// What its head says, if it says.
     length: Option<u64>,
     seen: u64,
@@ -172,6 +177,24 @@
 struct Streams {
     conn: Rc<Conn>,
     open: Cell<usize>,
+    /// Requests that were answered, and those that their client gave up.
+    answered: Cell<u32>,
+    given_up: Cell<u32>,
+    stops: Stops,
+}
+
+impl Streams {
+    /// Whether the client gives up more than [`MOST_GIVEN_UP`] beyond what it waits for.
+    fn is_too_much(&self) -> bool {
+        self.given_up.get() > MOST_GIVEN_UP.saturating_add(self.answered.get())
+    }
+
+    fn gave_up(&self) {
+        self.given_up.set(self.given_up.get().saturating_add(1));
+        if self.is_too_much() {
+            self.conn.shut(true);
+        }
+    }
 }
 
 /// One open request, until dropped.
@@ -230,19 +253,24 @@
         let Ok(connecting) = incoming.accept() else { return };
         let Ok(Ok(connection)) = timeout(HANDSHAKE, connecting).await else { return };
         drop(handshake);
-        let quic = connection.clone();
+        let held = connection.clone();
+        let (adapted, stops) = quic::Connection::new(connection);
         let mut builder = h3::server::builder();
         builder.max_field_section_size(LONGEST_HEAD as u64).send_grease(false);
-        let Ok(Ok(mut served)) =
-            timeout(HANDSHAKE, builder.build::<_, Bytes>(h3_quinn::Connection::new(connection))).await
-        else {
+        let Ok(Ok(mut served)) = timeout(HANDSHAKE, builder.build::<_, Bytes>(adapted)).await else {
             return;
         };
         let conn = Conn::new(SLOW);
         let number = self.next_conn.replace(self.next_conn.get() + 1);
         self.conns.borrow_mut().insert(number, conn.clone());
         let meter = self.directory.core().map(|core| Meter::new(core.clone(), Uid(0), 1));
-        let streams = Rc::new(Streams { conn: conn.clone(), open: Cell::new(0) });
+        let streams = Rc::new(Streams {
+            conn: conn.clone(),
+            open: Cell::new(0),
+            answered: Cell::new(0),
+            given_up: Cell::new(0),
+            stops,
+        });
         metered(meter.clone(), async {
             // One that comes while the node closes is told so at once; what it has sent is answered.
             let mut told = false;
@@ -275,7 +303,9 @@
             }
         })
         .await;
-        quic.close(VarInt::from_u32(Code::H3_NO_ERROR.value() as u32), b"");
+        // Who asks only to give up takes what others need (RFC 9114, section 10.5).
+        let code = if streams.is_too_much() { Code::H3_EXCESSIVE_LOAD } else { Code::H3_NO_ERROR };
+        held.close(VarInt::from_u32(code.value() as u32), b"");
         self.conns.borrow_mut().remove(&number);
         drop(place);
         self.ended.notify_waiters();
@@ -283,17 +313,16 @@
 
     async fn request3(
         &self,
-        resolver: RequestResolver<h3_quinn::Connection, Bytes>,
+        resolver: RequestResolver<quic::Connection, Bytes>,
         body_by: Instant,
         open: &Open,
         listener: &str,
         meter: Option<Rc<Meter>>,
     ) {
         // A head that cannot be read ends its stream, and one that breaks the protocol its connection.
-        let Ok(Ok((request, stream))) = tokio::time::timeout_at(body_by, resolver.resolve_request()).await
-        else {
-            return;
-        };
+        let resolved = tokio::time::timeout_at(body_by, resolver.resolve_request()).await;
+        let Ok(Ok((request, stream))) = resolved else { return open.0.gave_up() };
+        let stopped = open.0.stops.take(stream.id());
         let (mut send, receive) = stream.split();
         let read = plainly(request).and_then(|request| Ok((length(request.headers())?, request)));
         let response = match read {
@@ -301,17 +330,34 @@
                 // A GET has no body here: one that comes all the same is longer than that.
                 let length = length.or((request.method() == Method::GET).then_some(0));
                 let request = request.map(|()| Incoming3 { stream: receive, length, seen: 0 });
-                self.handle(request, body_by, &open.0.conn, listener, meter).await.0
+                let handled = self.handle(request, body_by, &open.0.conn, listener, meter);
+                let Some(stopped) = stopped else { return };
+                // Dropped, the request is withdrawn: its attempt ends and its place is free.
+                tokio::select! {
+                    (response, _) = handled => response,
+                    () = stopped => {
+                        send.stop_stream(Code::H3_REQUEST_CANCELLED);
+                        return open.0.gave_up();
+                    }
+                }
             }
             Err((status, why)) => plain(status, why),
         };
-        // A client that does not read is given up on when its connection idles out.
-        let _ = answer(&mut send, response).await;
+        // A client that does not read its answer holds its stream, of which it has so many.
+        let sent = timeout(UNREAD, answer(&mut send, response)).await;
+        match sent {
+            Ok(Ok(())) => open.0.answered.set(open.0.answered.get().saturating_add(1)),
+            Ok(Err(_)) => open.0.gave_up(),
+            Err(_) => {
+                send.stop_stream(Code::H3_REQUEST_CANCELLED);
+                open.0.gave_up();
+            }
+        }
     }
 }
 
 async fn answer(
-    send: &mut RequestStream<h3_quinn::SendStream<Bytes>, Bytes>,
+    send: &mut RequestStream<quic::Send<Bytes>, Bytes>,
     response: Response<http_body_util::Full<Bytes>>,
 ) -> Result<(), h3::error::StreamError> {
     let (mut head, body) = response.into_parts();
--- a/crates/node/src/front/tls.rs
+++ b/crates/node/src/front/tls.rs
@@ -82,3 +82,29 @@
         Some(self.held.read().unwrap_or_else(PoisonError::into_inner).clone())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use woodgap_testkit::http3::certificate;
+
+    // A rotation that is half done, or went wrong: what was there stays in use.
+    #[test]
+    fn what_does_not_fit_is_not_taken() {
+        let (one, other) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+        let (first, second) = (certificate(one.path()).unwrap(), certificate(other.path()).unwrap());
+        let held = |loaded: &Certificate| loaded.held.read().unwrap().cert[0].clone();
+        let loaded = Certificate::load(&first.chain, &first.key).unwrap();
+        std::fs::copy(&second.key, &first.key).unwrap();
+        assert!(loaded.reload().unwrap_err().contains("does not belong"));
+        assert_eq!(held(&loaded), first.der);
+        std::fs::copy(&second.chain, &first.chain).unwrap();
+        loaded.reload().unwrap();
+        assert_eq!(held(&loaded), second.der);
+        std::fs::write(&first.chain, "no certificate").unwrap();
+        assert!(loaded.reload().unwrap_err().contains("no certificate"));
+        std::fs::remove_file(&first.key).unwrap();
+        assert!(loaded.reload().is_err());
+        assert_eq!(held(&loaded), second.der);
+    }
+}
--- a/crates/node/tests/http3.rs
+++ b/crates/node/tests/http3.rs
@@ -171,6 +171,72 @@
     assert_eq!((second_effects([&backend]), backend.requests()), (0, 8));
 }
 
+// A client gives its request up while the server works: the attempt is withdrawn, and its place is free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_is_given_up_is_withdrawn() {
+    let place = place().await;
+    let backend = Backend::start(Does::Hold).await.unwrap();
+    let mut document = spec(20_000);
+    document["share"] = serde_json::json!({"max_held": 4});
+    place.site.admin.tenant("acme", &document, &[backend.addr]).await.unwrap();
+    let quic = place.connect().await;
+    let long = Duration::from_secs(20);
+    let mut streams = Vec::new();
+    for n in 0..4 {
+        let (request, body) = http3::request(&Ask::renew("acme", format!("r{n}")).within(long)).unwrap();
+        let mut stream = quic.begin(request).await.unwrap();
+        stream.send_data(body).await.unwrap();
+        stream.finish().await.unwrap();
+        streams.push(stream);
+    }
+    until("all are at the server", || async { backend.requests() == 4 }).await;
+    let full = quic.ask(&Ask::lookup("acme", "full")).await.unwrap();
+    assert_eq!((full.status.as_u16(), backend.connections()), (503, 4));
+    for mut stream in streams {
+        stream.stop_sending(h3::error::Code::H3_REQUEST_CANCELLED);
+    }
+    let held = || async {
+        place.site.admin.get("tenants/acme/status").await.unwrap().body["held"].as_u64().unwrap()
+    };
+    until("their places are free", || async { held().await == 0 }).await;
+    until("their attempts have ended", || async { backend.connections() == 0 }).await;
+    backend.does(AT_ONCE);
+    assert_eq!(quic.ask(&Ask::lookup("acme", "next")).await.unwrap().status, 200);
+    // Never sent again.
+    assert_eq!((backend.requests(), second_effects([&backend])), (5, 0));
+}
+
+// One opens streams and gives them up as fast as it can: it is cut off, and others are served meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_client_that_only_gives_up_is_cut_off() {
+    let place = place().await;
+    let backend = Backend::start(Does::Serve(Duration::from_millis(20))).await.unwrap();
+    place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
+    let (rude, other) = (place.connect().await, place.connect().await);
+    let code = h3::error::Code::H3_REQUEST_CANCELLED;
+    let floods = async {
+        for n in 0..20_000 {
+            let (request, _) = http3::request(&Ask::lookup("acme", format!("f{n}"))).unwrap();
+            let Ok(mut stream) = rude.begin(request).await else { break };
+            stream.stop_stream(code);
+            stream.stop_sending(code);
+        }
+        until("it is cut off", || async { !rude.is_open() }).await;
+    };
+    let asks = async {
+        for n in 0..20 {
+            let answer = other.ask(&Ask::lookup("acme", format!("o{n}"))).await.unwrap();
+            assert_eq!(answer.status, 200, "{n}");
+        }
+    };
+    tokio::join!(floods, asks);
+    let Some(quinn::ConnectionError::ApplicationClosed(close)) = rude.quic().close_reason() else {
+        panic!("{:?}", rude.quic().close_reason());
+    };
+    assert_eq!(close.error_code.into_inner(), h3::error::Code::H3_EXCESSIVE_LOAD.value());
+    assert_eq!(other.ask(&Ask::lookup("acme", "after")).await.unwrap().status, 200);
+}
+
 // SIGTERM: what was taken finishes, the client is told, and what comes later provably never ran.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_node_that_drains_finishes_what_it_took_and_rejects_the_rest() {
