Send to servers over HTTP/3, many requests on a connection, with what its ends prove

Its requests share one connection. A stream reset with H3_REQUEST_REJECTED never ran and is tried elsewhere; one that was never begun goes on a new connection; every other end may have come after it ran, and a renew is not tried again. A request that is withdrawn stops its stream. A certificate that is another, or a server without QUIC, is a failed connection.

Tests: lookup and renew at a server that serves, turns away, resets or fails, four ways (client and server over HTTP/1.1 or HTTP/3): same answers, attempts and effects; rejected streams; strangers; a drain on a shared connection.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -47,6 +47,31 @@
     pub kept: bool,
 }
 
+/// How a server is spoken to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Transport {
+    /// HTTP/1.1 over TCP.
+    #[default]
+    Http1,
+    /// HTTP/3, at a server whose certificate is this one.
+    Http3 {
+        /// SHA-256 of its certificate in DER.
+        pin: [u8; 32],
+    },
+}
+
+/// Reads a certificate's SHA-256: 64 hexadecimal digits.
+pub fn pin_of(text: &str) -> Option<[u8; 32]> {
+    let mut pin = [0; 32];
+    if text.len() != 64 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    for (place, byte) in pin.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * place..2 * place + 2], 16).ok()?;
+    }
+    Some(pin)
+}
+
 /// A server as a source has it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -54,6 +79,8 @@
     pub id: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How it is spoken to.
+    pub transport: Transport,
     /// Its zone.
     pub zone: String,
     /// Its cell.
@@ -127,6 +154,8 @@
     pub id: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How it is spoken to.
+    pub transport: Transport,
     /// Its zone.
     pub zone: String,
     /// Its cell.
@@ -385,6 +414,7 @@
             Some(Member {
                 id: id.clone(),
                 address: entry.address,
+                transport: entry.transport,
                 zone: entry.zone.clone(),
                 cell: entry.cell,
                 size: entry.size,
--- a/crates/membership/tests/merge.rs
+++ b/crates/membership/tests/merge.rs
@@ -14,6 +14,7 @@
     Entry {
         id: format!("s-{n:03}"),
         address: ([127, 0, 0, 1], 1_000 + n).into(),
+        transport: Transport::Http1,
         zone: "a".into(),
         cell: 0,
         size: 1.0,
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -569,6 +569,7 @@
     let entry = |member: &MemberView| Listed {
         id: member.id.clone(),
         addr: member.address,
+        transport: member.transport,
         zone: member.zone.clone(),
         cell: member.cell,
         state: if member.in_service { ServerState::InService } else { ServerState::Terminating },
--- a/crates/node/src/hosted/ephemeral.rs
+++ b/crates/node/src/hosted/ephemeral.rs
@@ -184,6 +184,7 @@
         let entry = |(n, &size): (usize, &f64)| Entry {
             id: format!("s{n}"),
             address: ([127, 0, 0, 1], 1_000 + n as u16).into(),
+            transport: Default::default(),
             zone: String::new(),
             cell: 0,
             size,
--- a/crates/node/src/sources/discovery.rs
+++ b/crates/node/src/sources/discovery.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use woodgap_decisions::settings::server_state;
 use woodgap_decisions::ServerState;
+use woodgap_membership::Transport;
 
 use crate::task::AbortOnDrop;
 
@@ -28,6 +29,7 @@
 pub struct Entry {
     pub id: String,
     pub addr: SocketAddr,
+    pub transport: Transport,
     pub zone: String,
     pub cell: u64,
     pub state: ServerState,
@@ -70,6 +72,7 @@
     Some(Entry {
         id: text("id")?.to_owned(),
         addr: text("host_port")?.parse().ok()?,
+        transport: Transport::Http1,
         zone: text("locality").unwrap_or("").to_owned(),
         cell: value.get("cell").and_then(Value::as_u64).unwrap_or(0),
         state: server_state(text("phase")?)?,
--- a/crates/node/src/sources/views.rs
+++ b/crates/node/src/sources/views.rs
@@ -119,6 +119,7 @@
     Entry {
         id: listed.id.clone(),
         address: listed.addr,
+        transport: listed.transport,
         zone: listed.zone.clone(),
         cell: listed.cell,
         size: listed.size,
@@ -131,6 +132,7 @@
     Listed {
         id: member.id.clone(),
         addr: member.address,
+        transport: member.transport,
         zone: member.zone.clone(),
         cell: member.cell,
         state: if member.in_service { ServerState::InService } else { ServerState::Terminating },
@@ -145,7 +147,16 @@
 
     fn one(id: &str, state: ServerState, up_since_ms: u64) -> Listed {
         let addr = ([127, 0, 0, 1], 9).into();
-        Listed { id: id.into(), addr, zone: "z".into(), cell: 3, state, size: 2.0, up_since_ms }
+        Listed {
+            id: id.into(),
+            addr,
+            transport: Default::default(),
+            zone: "z".into(),
+            cell: 3,
+            state,
+            size: 2.0,
+            up_since_ms,
+        }
     }
 
     fn plain(list: &List) -> Vec<(String, ServerState, u64)> {
--- /dev/null
+++ b/crates/node/src/upstream/http3.rs
@@ -0,0 +1,321 @@
+//! HTTP/3 to servers (RFC 9114): one connection a server, many requests on it, and what their ends prove.
+//!
+//! A stream that the server reset with `H3_REQUEST_REJECTED` never ran (section 4.1.1), and one that was never
+//! begun because the server takes nothing new (GOAWAY, section 5.2) was never sent. Every other end of a stream or
+//! of the connection may come after the request ran.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use h3::client::{RequestStream, SendRequest};
+use h3::error::{Code, StreamError};
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HeaderMap, CONTENT_LENGTH, HOST};
+use hyper::{Request, StatusCode};
+use quinn::VarInt;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
+use rustls::pki_types::{CertificateDer, ServerName, UnixTime};
+use rustls::{CertificateError, DigitallySignedStruct, SignatureScheme};
+use sha2::{Digest, Sha256};
+use tokio::time::{timeout, Instant};
+
+use crate::sockets::Sockets;
+use crate::task::{AbortOnDrop, Permit};
+use crate::upstream::exchange::LONGEST_BODY;
+
+/// Connections that one attempt may need: the one that ended under it, and another.
+pub const MOST_DIALS: usize = 3;
+/// The longest head of an answer.
+const LONGEST_HEAD: u64 = 32 * 1024;
+/// An answer's body that stands still for this long will not be whole.
+const STALL: Duration = Duration::from_millis(500);
+/// Bytes that a server may send ahead, on one stream and on all of a connection.
+const STREAM_WINDOW: u32 = LONGEST_BODY as u32 + 2 * LONGEST_HEAD as u32;
+const WINDOW: u32 = 16 * STREAM_WINDOW;
+/// A connection on which nothing comes for this long is over.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Takes one certificate and no other.
+#[derive(Debug)]
+struct Pinned {
+    pin: [u8; 32],
+    provider: Arc<CryptoProvider>,
+}
+
+impl ServerCertVerifier for Pinned {
+    fn verify_server_cert(
+        &self,
+        end_entity: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        _: &[u8],
+        _: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        if Sha256::digest(end_entity.as_ref()).as_slice() == self.pin {
+            return Ok(ServerCertVerified::assertion());
+        }
+        Err(rustls::Error::InvalidCertificate(CertificateError::ApplicationVerificationFailure))
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        _: &[u8],
+        _: &CertificateDer<'_>,
+        _: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        Err(rustls::Error::PeerIncompatible(rustls::PeerIncompatible::Tls12NotOffered))
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.provider.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.provider.signature_verification_algorithms.supported_schemes()
+    }
+}
+
+fn config(pin: [u8; 32]) -> io::Result<quinn::ClientConfig> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let builder = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(io::Error::other)?;
+    let verifier = Arc::new(Pinned { pin, provider });
+    let mut tls = builder.dangerous().with_custom_certificate_verifier(verifier).with_no_client_auth();
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    // Nothing is sent before the handshake is whole: it could be replayed (RFC 8470).
+    tls.enable_early_data = false;
+    let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(tls).map_err(io::Error::other)?;
+    let mut config = quinn::ClientConfig::new(Arc::new(crypto));
+    let mut transport = quinn::TransportConfig::default();
+    transport
+        .max_concurrent_bidi_streams(0u32.into())
+        .max_concurrent_uni_streams(4u32.into())
+        .stream_receive_window(STREAM_WINDOW.into())
+        .receive_window(WINDOW.into())
+        .datagram_receive_buffer_size(None)
+        .max_idle_timeout(IDLE.try_into().ok());
+    config.transport_config(Arc::new(transport));
+    Ok(config)
+}
+
+type Sender = SendRequest<h3_quinn::OpenStreams, Bytes>;
+type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+
+/// A connection to a server. Closed when the last that uses it is dropped.
+pub struct Link {
+    sender: Sender,
+    quic: quinn::Connection,
+    used: Cell<Instant>,
+    /// The server's epoch when it was opened.
+    pub epoch: u64,
+    _driver: AbortOnDrop,
+    _endpoint: quinn::Endpoint,
+    _permit: Permit,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.quic.close(VarInt::from_u32(Code::H3_NO_ERROR.value() as u32), b"");
+    }
+}
+
+/// The connection to a server that its requests share.
+#[derive(Default)]
+pub struct Shared {
+    link: RefCell<Option<Rc<Link>>>,
+    /// Held by who opens it: the others wait for that.
+    opening: tokio::sync::Mutex<()>,
+}
+
+impl Shared {
+    /// The connection, which is opened where there is none.
+    ///
+    /// # Errors
+    /// As the handshake fails, the certificate is another, or no descriptor is free.
+    pub async fn link(
+        &self,
+        addr: SocketAddr,
+        pin: [u8; 32],
+        epoch: u64,
+        sockets: &Sockets,
+    ) -> io::Result<Rc<Link>> {
+        let held = || self.link.borrow().clone().filter(|link| link.is_open() && link.epoch == epoch);
+        if let Some(link) = held() {
+            return Ok(link);
+        }
+        let _opening = self.opening.lock().await;
+        if let Some(link) = held() {
+            return Ok(link);
+        }
+        let permit = sockets.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
+        let link = Rc::new(Link::dial(addr, pin, epoch, permit).await?);
+        *self.link.borrow_mut() = Some(link.clone());
+        Ok(link)
+    }
+
+    /// The next request opens another one; those that are out on this one may end.
+    pub fn forget(&self) {
+        self.link.borrow_mut().take();
+    }
+
+    /// Closes a connection that nothing is out on and that was not used for long.
+    pub fn tidy(&self, longest: Duration) {
+        let over = |link: &Rc<Link>| {
+            !link.is_open() || (Rc::strong_count(link) == 1 && link.used.get().elapsed() >= longest)
+        };
+        if self.link.borrow().as_ref().is_some_and(over) {
+            self.forget();
+        }
+    }
+}
+
+/// What a request came to.
+pub enum Exchange {
+    /// Nothing of it was sent.
+    Unsent,
+    /// The server says that it did not look at it.
+    Rejected,
+    /// It ended without an answer that can be trusted; it may have run.
+    Broken,
+    /// Answered.
+    Answer {
+        /// Its status.
+        status: StatusCode,
+        /// Its fields.
+        headers: HeaderMap,
+        /// Its body, whole.
+        body: Bytes,
+    },
+}
+
+/// Tells the server, when it is dropped before its answer is whole, that the answer is not wanted any more.
+struct Asked {
+    stream: Stream,
+    whole: bool,
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        if !self.whole {
+            self.stream.stop_sending(Code::H3_REQUEST_CANCELLED);
+            self.stream.stop_stream(Code::H3_REQUEST_CANCELLED);
+        }
+    }
+}
+
+impl Link {
+    async fn dial(addr: SocketAddr, pin: [u8; 32], epoch: u64, permit: Permit) -> io::Result<Link> {
+        let any = SocketAddr::from(match addr {
+            SocketAddr::V4(_) => ([0u8; 4], 0).into(),
+            SocketAddr::V6(_) => SocketAddr::from(([0u16; 8], 0)),
+        });
+        let endpoint = quinn::Endpoint::client(any)?;
+        let name = addr.ip().to_string();
+        let connecting = endpoint.connect_with(config(pin)?, addr, &name).map_err(io::Error::other)?;
+        let quic = connecting.await?;
+        let mut builder = h3::client::builder();
+        builder.max_field_section_size(LONGEST_HEAD).send_grease(false);
+        let (mut driver, sender) =
+            builder.build(h3_quinn::Connection::new(quic.clone())).await.map_err(io::Error::other)?;
+        let driver = AbortOnDrop::spawn(async move {
+            let _ = std::future::poll_fn(|cx| driver.poll_close(cx)).await;
+        });
+        let used = Cell::new(Instant::now());
+        Ok(Link { sender, quic, used, epoch, _driver: driver, _endpoint: endpoint, _permit: permit })
+    }
+
+    /// Whether it has not ended.
+    pub fn is_open(&self) -> bool {
+        self.quic.close_reason().is_none()
+    }
+
+    /// Sends a request and reads its answer. `heard` is set once anything of an answer has come. Dropped, it tells
+    /// the server that the answer is not wanted.
+    pub async fn exchange(&self, request: Request<Full<Bytes>>, heard: &Cell<bool>) -> Exchange {
+        self.used.set(Instant::now());
+        let (mut parts, body) = request.into_parts();
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(never) => match never {},
+        };
+        let host = parts.headers.remove(HOST);
+        let host = host.as_ref().and_then(|host| host.to_str().ok()).unwrap_or("server");
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        let Ok(uri) = format!("https://{host}{path}").parse() else { return Exchange::Unsent };
+        parts.uri = uri;
+        if !body.is_empty() {
+            parts.headers.insert(CONTENT_LENGTH, body.len().into());
+        }
+        let mut sender = self.sender.clone();
+        let stream = match sender.send_request(Request::from_parts(parts, ())).await {
+            Ok(stream) => stream,
+            // It takes nothing new, and nothing was begun.
+            Err(StreamError::RemoteClosing { .. }) => return Exchange::Unsent,
+            Err(_) => return Exchange::Broken,
+        };
+        let mut asked = Asked { stream, whole: false };
+        let whole = whole(&mut asked, body, heard).await;
+        self.used.set(Instant::now());
+        match whole {
+            Ok(answer) => answer,
+            Err(StreamError::RemoteTerminate { code, .. }) if code == Code::H3_REQUEST_REJECTED => {
+                Exchange::Rejected
+            }
+            Err(_) => Exchange::Broken,
+        }
+    }
+}
+
+/// Writes the body and reads the answer to its end. An answer that cannot be trusted is none.
+async fn whole(asked: &mut Asked, body: Bytes, heard: &Cell<bool>) -> Result<Exchange, StreamError> {
+    let stream = &mut asked.stream;
+    if !body.is_empty() {
+        // A server may answer, or reject, before it has read all.
+        if let Err(error) = stream.send_data(body).await {
+            if let StreamError::ConnectionError { .. } = error {
+                return Err(error);
+            }
+        }
+    }
+    let _ = stream.finish().await;
+    let mut head = stream.recv_response().await?;
+    // Word that an answer is to come (1xx) is none.
+    for _ in 0..8 {
+        if !head.status().is_informational() {
+            break;
+        }
+        head = stream.recv_response().await?;
+    }
+    heard.set(true);
+    let length =
+        head.headers().get(CONTENT_LENGTH).map(|value| value.to_str().ok().and_then(|t| t.parse().ok()));
+    let mut body = BytesMut::new();
+    loop {
+        let Ok(data) = timeout(STALL, stream.recv_data()).await else { return Ok(Exchange::Broken) };
+        let Some(mut data) = data? else { break };
+        if body.len() + data.remaining() > LONGEST_BODY {
+            return Ok(Exchange::Broken);
+        }
+        let data = data.copy_to_bytes(data.remaining());
+        body.extend_from_slice(&data);
+    }
+    if length.is_some_and(|length| length != Some(body.len())) {
+        return Ok(Exchange::Broken);
+    }
+    asked.whole = true;
+    let (head, ()) = head.into_parts();
+    Ok(Exchange::Answer { status: head.status, headers: head.headers, body: body.freeze() })
+}
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -1,4 +1,6 @@
 //! The servers' side of a pool: connections, attempts, and what their ends prove.
 
 pub mod exchange;
+#[cfg(feature = "hosted")]
+pub mod http3;
 pub mod servers;
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -13,6 +13,7 @@
 use tokio::time::{timeout_at, Instant};
 use woodgap_decisions::settings::Zones;
 use woodgap_decisions::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
+use woodgap_membership::Transport;
 
 use crate::config::Figures;
 use crate::meter::Meter;
@@ -20,6 +21,8 @@
 use crate::sockets::Sockets;
 use crate::sources::discovery::{server_number, List};
 use crate::upstream::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
+#[cfg(feature = "hosted")]
+use crate::upstream::http3;
 
 /// Connections are reused for this part of the time that servers keep them: a request that meets
 /// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
@@ -41,12 +44,16 @@
 
 struct Entry {
     addr: SocketAddr,
+    transport: Transport,
     since_ms: u64,
     /// New with each restart, change of address or return to the list: connections of another epoch
     /// lead to a process that is gone and are not used.
     epoch: u64,
     /// The most recently used last.
     idle: Vec<Link>,
+    /// The connection that its requests share, where it speaks HTTP/3.
+    #[cfg(feature = "hosted")]
+    shared: Rc<http3::Shared>,
     /// Since when it wants nothing new.
     barred: Option<Instant>,
     /// Another server listens at its address now.
@@ -107,17 +114,23 @@
             names.insert(number, entry.id.clone());
             let known = entries.entry(server).or_insert_with(|| Entry {
                 addr: entry.addr,
+                transport: entry.transport,
                 since_ms: entry.up_since_ms,
                 epoch: self.next_epoch(),
                 idle: Vec::new(),
+                #[cfg(feature = "hosted")]
+                shared: Rc::default(),
                 barred: None,
                 replaced: false,
             });
             // A restarted process, or one that moved, knows nothing of the old connections.
-            if (known.addr, known.since_ms) != (entry.addr, entry.up_since_ms) {
-                (known.addr, known.since_ms) = (entry.addr, entry.up_since_ms);
+            let now = (entry.addr, entry.transport, entry.up_since_ms);
+            if (known.addr, known.transport, known.since_ms) != now {
+                (known.addr, known.transport, known.since_ms) = now;
                 known.epoch = self.next_epoch();
                 known.idle.clear();
+                #[cfg(feature = "hosted")]
+                known.shared.forget();
             }
             if entry.state == ServerState::InService {
                 (known.barred, known.replaced) = (None, false);
@@ -173,6 +186,8 @@
         let longest = self.figures.keepalive.mul_f64(REUSE);
         for entry in self.entries.borrow_mut().values_mut() {
             entry.idle.retain(|link| !link.is_closed() && link.idle_since.elapsed() < longest);
+            #[cfg(feature = "hosted")]
+            entry.shared.tidy(longest);
         }
     }
 
@@ -230,10 +245,67 @@
         Link::dial(addr, epoch, permit, self.meter.clone()).await
     }
 
+    fn transport(&self, server: ServerId) -> Option<Transport> {
+        self.entries.borrow().get(&server).map(|entry| entry.transport)
+    }
+
     // Attempts.
 
+    /// As [`Servers::attempt`], on the connection that the server's requests share.
+    #[cfg(feature = "hosted")]
+    async fn attempt3(&self, server: ServerId, call: &Call, until: Instant, pin: [u8; 32]) -> Ended {
+        // A connection that ends under us, or that takes nothing new any more, is replaced: nothing was sent.
+        for _ in 0..http3::MOST_DIALS {
+            let Some((addr, epoch)) = self.address(server) else { break };
+            let shared = self.entries.borrow().get(&server).map(|entry| entry.shared.clone());
+            let Some(shared) = shared else { break };
+            let connected = until.min(Instant::now() + self.figures.dial_timeout);
+            let dialled = timeout_at(connected, shared.link(addr, pin, epoch, &self.sockets)).await;
+            let Ok(Ok(link)) = dialled else { break };
+            // The list may have changed meanwhile.
+            match self.address(server) {
+                Some((_, now)) if now != link.epoch => continue,
+                Some(_) if Instant::now() < until => {}
+                _ => break,
+            }
+            let heard = Cell::new(false);
+            let exchange = link.exchange(request(call, addr, until), &heard);
+            return match timeout_at(until, exchange).await {
+                Err(_) if heard.get() => Outcome::Error.into(),
+                Err(_) => {
+                    // It may be gone: what is sent next is to be sent where that would tell.
+                    shared.forget();
+                    Outcome::Timeout.into()
+                }
+                Ok(http3::Exchange::Unsent) => {
+                    shared.forget();
+                    continue;
+                }
+                Ok(http3::Exchange::Rejected) => Outcome::Full.into(),
+                Ok(http3::Exchange::Broken) if heard.get() => Outcome::Error.into(),
+                Ok(http3::Exchange::Broken) => Outcome::Reset.into(),
+                Ok(http3::Exchange::Answer { status, headers, body }) => {
+                    let load = load(&headers, &self.figures.report);
+                    let outcome = outcome(status, &headers);
+                    let answer = (outcome == Outcome::Ok).then_some((headers, body));
+                    Ended { outcome, load, answer }
+                }
+            };
+        }
+        Outcome::ConnectFailed.into()
+    }
+
+    /// This build has no HTTP/3.
+    #[cfg(not(feature = "hosted"))]
+    async fn attempt3(&self, _: ServerId, _: &Call, _: Instant, _: [u8; 32]) -> Ended {
+        Outcome::ConnectFailed.into()
+    }
+
     /// Sends a request and tells how it ended. Dropped, it closes its connection.
     pub async fn attempt(&self, server: ServerId, call: &Call, until: Instant) -> Ended {
+        if let Some(Transport::Http3 { pin }) = self.transport(server) {
+            return self.attempt3(server, call, until, pin).await;
+        }
         loop {
             let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
             let (mut link, reused) = match self.idle_link(server) {
@@ -325,7 +397,8 @@
 
     fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
         let (id, zone) = ("s-1".into(), "a".into());
-        let entry = Listed { id, addr, zone, cell: 0, state, size: 1.0, up_since_ms: 0 };
+        let entry =
+            Listed { id, addr, transport: Transport::Http1, zone, cell: 0, state, size: 1.0, up_since_ms: 0 };
         List { revision: None, complete, entries: vec![entry] }
     }
 
--- a/crates/node/tests/http3.rs
+++ b/crates/node/tests/http3.rs
@@ -5,9 +5,10 @@
 
 use bytes::Bytes;
 use hyper::Request;
+use serde_json::json;
 use woodgap::hosted::config::{HostedConfig, Protocols};
-use woodgap_testkit::admin::spec;
-use woodgap_testkit::backend::{second_effects, Backend, Does};
+use woodgap_testkit::admin::{spec, If, Reply};
+use woodgap_testkit::backend::{second_effects, Backend, Does, Make};
 use woodgap_testkit::client::{self, Ask};
 use woodgap_testkit::hosted::Site;
 use woodgap_testkit::http3::{self, certificate, tls_http1, Certificate, Connection};
@@ -237,6 +238,204 @@
     assert_eq!(other.ask(&Ask::lookup("acme", "after")).await.unwrap().status, 200);
 }
 
+/// A server of either protocol.
+async fn server(http3: bool, does: Does) -> Backend {
+    Backend::make(does, Make { http3, ..Make::default() }).await.unwrap()
+}
+
+/// Adds a server that has been warm for long to a tenant.
+async fn add(place: &Place, tenant: &str, id: &str, server: &Backend) -> Reply {
+    let mut document = json!({"address": server.addr, "started_ms": 0});
+    if let Some(pin) = &server.pin {
+        document["protocol"] = json!("http3");
+        document["pin"] = json!(pin);
+    }
+    place.site.admin.put(&format!("tenants/{tenant}/backends/{id}"), If::Absent, &document).await.unwrap()
+}
+
+/// A client of either protocol.
+enum Client {
+    Tcp(client::Connection),
+    Quic(Connection),
+}
+
+impl Client {
+    async fn ask(&mut self, one: &Ask) -> std::io::Result<client::Answer> {
+        match self {
+            Client::Tcp(connection) => connection.ask(one).await,
+            Client::Quic(connection) => connection.ask(one).await,
+        }
+    }
+}
+
+async fn client(place: &Place, http3: bool) -> Client {
+    if http3 {
+        return Client::Quic(place.connect().await);
+    }
+    let tls = tls_http1(std::slice::from_ref(&place.certificate.der)).unwrap();
+    Client::Tcp(client::Connection::open_tls(place.site.addr, tls).await.unwrap())
+}
+
+/// What a client and two servers have seen of one request.
+type Seen = (u16, Vec<u8>, [u64; 2], u32);
+
+/// What becomes of a lookup and a renew where the server that the key belongs to does as it is told and another
+/// serves; each for a tenant of its own, so that nothing was learnt before it.
+async fn outcomes(place: &Place, way: (bool, bool), does: Does) -> Vec<Seen> {
+    let (from, to) = way;
+    let mut all = Vec::new();
+    for class in ["lookup", "renew"] {
+        let told: String = format!("{does:?}").chars().filter(char::is_ascii_alphanumeric).collect();
+        let tenant = format!("{class}-{}{}-{}", u8::from(from), u8::from(to), told.to_lowercase());
+        place.site.admin.tenant(&tenant, &spec(1_500), &[]).await.unwrap();
+        let (odd, good) = (server(to, AT_ONCE).await, server(to, AT_ONCE).await);
+        assert_eq!(add(place, &tenant, "odd", &odd).await.status, 201);
+        assert_eq!(add(place, &tenant, "good", &good).await.status, 201);
+        let mut asks = client(place, from).await;
+        let mut key = None;
+        for n in 0..200 {
+            let one = Ask { key: format!("k{n}"), ..Ask::lookup(&tenant, format!("{tenant}-find{n}")) };
+            let before = odd.requests();
+            assert_eq!(asks.ask(&one).await.unwrap().status, 200);
+            if odd.requests() > before {
+                key = Some(one.key);
+                break;
+            }
+        }
+        let key = key.expect("a key of the odd server's");
+        odd.does(does);
+        let txn = format!("{tenant}-asked");
+        let one = match class {
+            "lookup" => Ask::lookup(&tenant, txn.clone()),
+            _ => Ask::renew(&tenant, txn.clone()),
+        };
+        let one = Ask { key, ..one }.within(Duration::from_millis(1_200));
+        let before = [odd.requests(), good.requests()];
+        let answer = asks.ask(&one).await.unwrap();
+        let attempts = [odd.requests() - before[0], good.requests() - before[1]];
+        let ran = odd.ran().get(&txn).copied().unwrap_or(0) + good.ran().get(&txn).copied().unwrap_or(0);
+        let body = answer.body.to_vec();
+        let body = if body == txn.as_bytes() { b"its own".to_vec() } else { body };
+        all.push((answer.status.as_u16(), body, attempts, ran));
+        assert_eq!(second_effects([&odd, &good]), 0, "{way:?} {does:?}");
+    }
+    all
+}
+
+// Client and server of either protocol, four ways: the same answers, attempts and effects.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outcomes_are_the_same_four_ways() {
+    let place = place().await;
+    for does in [AT_ONCE, Does::TurnAway, Does::Reset, Does::Error] {
+        let mut first = None;
+        for way in [(false, false), (false, true), (true, false), (true, true)] {
+            let seen = outcomes(&place, way, does).await;
+            match &first {
+                None => first = Some(seen),
+                Some(first) => assert_eq!(*first, seen, "{way:?} {does:?}"),
+            }
+        }
+        let first = first.unwrap();
+        // A lookup is answered whatever one server does; a renew that may have run is not tried again.
+        assert_eq!(first[0].0, 200, "{does:?} {first:?}");
+        let renew = if matches!(does, Does::Reset | Does::Error) { 502 } else { 200 };
+        assert_eq!((first[1].0, first[1].3), (renew, 1), "{does:?} {first:?}");
+    }
+}
+
+// A stream that is reset as not looked at never ran: a renew is tried elsewhere, and runs once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_a_server_rejects_is_tried_elsewhere() {
+    let place = place().await;
+    let seen = outcomes(&place, (true, true), Does::Reject).await;
+    for (status, body, attempts, _) in &seen {
+        assert_eq!((*status, body.as_slice(), attempts[0]), (200, b"its own".as_slice(), 1), "{seen:?}");
+    }
+    assert_eq!(seen[1].3, 1);
+}
+
+// A certificate that is not the pinned one, and a server that speaks HTTP/1.1 alone: nothing ran there, and the
+// requests go elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_is_not_who_it_should_be_gets_nothing() {
+    let place = place().await;
+    let (good, stranger, plain) =
+        (server(true, AT_ONCE).await, server(true, AT_ONCE).await, server(false, AT_ONCE).await);
+    place.site.admin.tenant("acme", &spec(2_000), &[]).await.unwrap();
+    add(&place, "acme", "good", &good).await;
+    for (id, addr) in [("stranger", stranger.addr), ("plain", plain.addr)] {
+        let document = json!({"address": addr, "protocol": "http3", "pin": good.pin, "started_ms": 0});
+        let put = place
+            .site
+            .admin
+            .put(&format!("tenants/acme/backends/{id}"), If::Absent, &document)
+            .await
+            .unwrap();
+        assert_eq!(put.status, 201, "{put:?}");
+    }
+    let mut asks = client(&place, true).await;
+    for n in 0..30 {
+        let one = if n % 2 == 0 {
+            Ask::renew("acme", format!("r{n}"))
+        } else {
+            Ask::lookup("acme", format!("l{n}"))
+        };
+        let answer = asks.ask(&one).await.unwrap();
+        assert_eq!(answer.status, 200, "{n} {answer:?}");
+    }
+    assert_eq!((good.requests(), stranger.requests(), plain.requests()), (30, 0, 0));
+    assert_eq!(second_effects([&good]), 0);
+    // Without a pin a server with HTTP/3 is not taken.
+    let put = json!({"address": good.addr, "protocol": "http3"});
+    let put = place.site.admin.put("tenants/acme/backends/x", If::Absent, &put).await.unwrap();
+    assert_eq!((put.status, &put.body["errors"][0]["field"]), (422, &json!("pin")));
+}
+
+// Many requests share a connection, and a server that drains gets nothing new on it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_share_a_connection_and_a_drain_holds_on_it() {
+    let place = place().await;
+    let (a, b) = (server(true, Does::Serve(Duration::from_millis(20))).await, server(true, AT_ONCE).await);
+    place.site.admin.tenant("acme", &spec(2_000), &[]).await.unwrap();
+    add(&place, "acme", "a", &a).await;
+    add(&place, "acme", "b", &b).await;
+    let quic = std::sync::Arc::new(place.connect().await);
+    let burst = |name: &'static str| {
+        let quic = quic.clone();
+        async move {
+            let asks: Vec<_> = (0..40)
+                .map(|n| {
+                    let (quic, one) = (quic.clone(), Ask::lookup("acme", format!("{name}{n}")));
+                    tokio::spawn(async move { quic.ask(&one).await.unwrap().status })
+                })
+                .collect();
+            for one in asks {
+                assert_eq!(one.await.unwrap(), 200);
+            }
+        }
+    };
+    burst("first").await;
+    assert_eq!((a.opened(), b.opened()), (1, 1));
+    let seen = place.site.admin.get("tenants/acme/backends/a").await.unwrap();
+    let mut document = seen.body["spec"].clone();
+    document["phase"] = json!("terminating");
+    let put = place
+        .site
+        .admin
+        .put("tenants/acme/backends/a", If::Match(&seen.etag.unwrap()), &document)
+        .await
+        .unwrap();
+    assert_eq!(put.status, 200);
+    a.gone();
+    let until = Instant::now() + Duration::from_millis(900);
+    while Instant::now() < until {
+        burst("later").await;
+    }
+    let at_a = a.requests();
+    burst("last").await;
+    assert_eq!((a.requests(), a.late_sends()), (at_a, 0));
+}
+
 // SIGTERM: what was taken finishes, the client is told, and what comes later provably never ran.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_node_that_drains_finishes_what_it_took_and_rejects_the_rest() {
--- a/crates/tenancy/src/catalogue.rs
+++ b/crates/tenancy/src/catalogue.rs
@@ -15,6 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 use utoipa::ToSchema;
+use woodgap_membership::Transport;
 
 use crate::route::Claim;
 use crate::spec::{is_id, is_name, BackendSpec, FieldFault, Phase, TenantSpec};
@@ -254,6 +255,8 @@
     pub id: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// How it is spoken to.
+    pub transport: Transport,
     /// Its zone.
     pub zone: String,
     /// Its cell.
@@ -364,6 +367,7 @@
             MemberView {
                 id: id.clone(),
                 address: spec.address,
+                transport: spec.transport(),
                 zone: spec.zone.clone(),
                 cell: spec.cell,
                 size: spec.size / sharers as f64,
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use utoipa::ToSchema;
+use woodgap_membership::{pin_of, Transport};
 
 /// Characters of a tenant's name, a class's or a match, at most.
 pub const LONGEST_NAME: usize = 63;
@@ -214,6 +215,21 @@
     Terminating,
 }
 
+/// What a server speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Protocol {
+    /// HTTP/1.1.
+    #[default]
+    Http1,
+    /// HTTP/3.
+    Http3,
+}
+
+fn is_http1(protocol: &Protocol) -> bool {
+    *protocol == Protocol::Http1
+}
+
 /// A server of a tenant, as an administrator writes it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
@@ -221,6 +237,12 @@
     /// Where it listens: `ADDRESS:PORT`.
     #[schema(value_type = String, example = "10.1.0.18:5000")]
     pub address: SocketAddr,
+    /// What it speaks.
+    #[serde(default, skip_serializing_if = "is_http1")]
+    pub protocol: Protocol,
+    /// With `http3`: SHA-256 of its certificate in DER, as 64 hexadecimal digits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pin: Option<String>,
     /// Its zone.
     #[serde(default)]
     pub zone: String,
@@ -381,6 +403,14 @@
 }
 
 impl BackendSpec {
+    /// How it is spoken to.
+    pub fn transport(&self) -> Transport {
+        match (self.protocol, self.pin.as_deref().and_then(pin_of)) {
+            (Protocol::Http3, Some(pin)) => Transport::Http3 { pin },
+            _ => Transport::Http1,
+        }
+    }
+
     /// Every fault of the document.
     pub fn faults(&self) -> Vec<FieldFault> {
         let mut faults = Vec::new();
@@ -394,6 +424,16 @@
         if !(self.size > 0.0 && self.size <= 1_000.0) {
             faults.push(FieldFault::new("size", "give a number above 0, at most 1000"));
         }
+        match (self.protocol, self.pin.as_deref()) {
+            (Protocol::Http3, pin) if pin.and_then(pin_of).is_none() => {
+                let right = "with http3, give the SHA-256 of its certificate: 64 hexadecimal digits";
+                faults.push(FieldFault::new("pin", right));
+            }
+            (Protocol::Http1, Some(_)) => {
+                faults.push(FieldFault::new("pin", "only a server with http3 has one; leave it out"));
+            }
+            _ => {}
+        }
         if self.started_ms.is_some_and(|ms| ms > 1 << 50) {
             faults.push(FieldFault::new("started_ms", "give Unix time in milliseconds, or 0 for long ago"));
         }
@@ -464,6 +504,8 @@
     fn a_server_needs_a_place_to_send_to() {
         let server = |address: &str| BackendSpec {
             address: address.parse().unwrap(),
+            protocol: Protocol::Http1,
+            pin: None,
             zone: String::new(),
             cell: 0,
             size: 1.0,
@@ -474,6 +516,10 @@
         for odd in ["127.0.0.1:0", "0.0.0.0:80", "[::]:80", "224.0.0.1:80"] {
             assert_eq!(server(odd).faults()[0].field, "address", "{odd}");
         }
+        let odd = BackendSpec { protocol: Protocol::Http3, ..server("127.0.0.1:80") };
+        assert_eq!(odd.faults()[0].field, "pin");
+        let good = BackendSpec { pin: Some("0f".repeat(32)), ..odd };
+        assert_eq!((good.faults(), good.transport()), (vec![], Transport::Http3 { pin: [15; 32] }));
         let nan = BackendSpec { size: f64::NAN, ..server("127.0.0.1:80") };
         assert_eq!(nan.faults()[0].field, "size");
     }
--- a/crates/tenancy/tests/model.rs
+++ b/crates/tenancy/tests/model.rs
@@ -19,6 +19,8 @@
 fn server(port: u8) -> BackendSpec {
     BackendSpec {
         address: ([127, 0, 0, 1], 1_000 + u16::from(port)).into(),
+        protocol: Default::default(),
+        pin: None,
         zone: String::new(),
         cell: 0,
         size: 1.0,
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
@@ -31,6 +30,8 @@
     Reset,
     /// Answers 500; it may have run.
     Error,
+    /// Over HTTP/3: resets its stream as one that it did not look at. Else as [`Does::TurnAway`].
+    Reject,
     /// Turns it away unseen.
     TurnAway,
 }
@@ -77,6 +78,8 @@
 pub struct Backend {
     /// Where it listens.
     pub addr: SocketAddr,
+    /// SHA-256 of its certificate, where it speaks HTTP/3.
+    pub pin: Option<String>,
     shared: Arc<Shared>,
     task: JoinHandle<()>,
 }
@@ -90,11 +93,13 @@
     pub queue: usize,
     /// Whether it remembers each request: off for load.
     pub remember: bool,
+    /// Whether it speaks HTTP/3 in place of HTTP/1.1.
+    pub http3: bool,
 }
 
 impl Default for Make {
     fn default() -> Self {
-        Make { cores: 64, queue: 1_024, remember: true }
+        Make { cores: 64, queue: 1_024, remember: true, http3: false }
     }
 }
 
@@ -123,6 +128,12 @@
             keep: make.remember,
             book: Mutex::default(),
         });
+        if make.http3 {
+            let (endpoint, pin) = crate::http3::server()?;
+            let addr = endpoint.local_addr()?;
+            let task = tokio::spawn(serve3(endpoint, shared.clone()));
+            return Ok(Backend { addr, pin: Some(pin), shared, task });
+        }
         let state = shared.clone();
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
@@ -146,7 +157,7 @@
                 }
             }
         });
-        Ok(Backend { addr, shared, task })
+        Ok(Backend { addr, pin: None, shared, task })
     }
 
     fn book<T>(&self, look: impl FnOnce(&mut Book) -> T) -> T {
@@ -246,11 +257,77 @@
 
 impl std::error::Error for Break {}
 
-async fn answer(
+/// Serves HTTP/3.
+async fn serve3(endpoint: quinn::Endpoint, state: Arc<Shared>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(incoming) = endpoint.accept() => {
+                let number = state.opened.fetch_add(1, Ordering::Relaxed) + 1;
+                state.connections.fetch_add(1, Ordering::Relaxed);
+                let state = state.clone();
+                connections.spawn(async move {
+                    let _ = connection3(incoming, state.clone(), number).await;
+                    state.connections.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn connection3(incoming: quinn::Incoming, state: Arc<Shared>, number: u64) -> std::io::Result<()> {
+    let quic = incoming.await?;
+    let connection = h3::server::Connection::new(h3_quinn::Connection::new(quic)).await;
+    let mut connection = connection.map_err(std::io::Error::other)?;
+    let mut requests = tokio::task::JoinSet::new();
+    while let Some(resolver) = connection.accept().await.map_err(std::io::Error::other)? {
+        let state = state.clone();
+        requests.spawn(async move { drop(request3(resolver, state, number).await) });
+        while requests.try_join_next().is_some() {}
+    }
+    Ok(())
+}
+
+async fn request3(
+    resolver: h3::server::RequestResolver<h3_quinn::Connection, Bytes>,
+    state: Arc<Shared>,
+    number: u64,
+) -> Result<(), h3::error::StreamError> {
+    use bytes::Buf;
+    use h3::error::Code;
+    let (request, mut stream) = resolver.resolve_request().await?;
+    let mut body = Vec::new();
+    while let Some(mut data) = stream.recv_data().await? {
+        body.extend_from_slice(&data.copy_to_bytes(data.remaining()));
+    }
+    let rejects = *state.does.borrow() == Does::Reject;
+    let answered = answer(state, request.map(|()| Full::new(Bytes::from(body))), number).await;
+    let response = match answered {
+        Ok(response) if !rejects => response,
+        ended => {
+            let code = if ended.is_ok() { Code::H3_REQUEST_REJECTED } else { Code::H3_INTERNAL_ERROR };
+            stream.stop_stream(code);
+            return Ok(());
+        }
+    };
+    let (head, body) = response.into_parts();
+    stream.send_response(Response::from_parts(head, ())).await?;
+    let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    if !body.is_empty() {
+        stream.send_data(body).await?;
+    }
+    stream.finish().await
+}
+
+async fn answer<B>(
     state: Arc<Shared>,
-    request: Request<Incoming>,
+    request: Request<B>,
     connection: u64,
-) -> Result<Response<Full<Bytes>>, Break> {
+) -> Result<Response<Full<Bytes>>, Break>
+where
+    B: hyper::body::Body<Data = Bytes>,
+{
     let text = |name: &str| {
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or("").to_owned()
@@ -280,7 +357,7 @@
             book.seen.push(seen);
         }
     };
-    if does == Does::TurnAway || state.waiting.load(Ordering::Relaxed) >= state.queue {
+    if matches!(does, Does::TurnAway | Does::Reject) || state.waiting.load(Ordering::Relaxed) >= state.queue {
         note(false);
         return Ok(reply(503, true, ""));
     }
@@ -302,7 +379,7 @@
             Ok(reply(200, false, txn))
         }
         Does::Error => Ok(reply(500, false, "")),
-        Does::TurnAway => Ok(reply(503, true, "")),
+        Does::TurnAway | Does::Reject => Ok(reply(503, true, "")),
         Does::Reset | Does::Hold => Err(Break),
     }
 }
--- a/crates/testkit/src/http3.rs
+++ b/crates/testkit/src/http3.rs
@@ -41,6 +41,29 @@
     Ok(Certificate { chain, key, der: made.cert.der().clone() })
 }
 
+/// An endpoint of a server with a certificate of its own, and the SHA-256 of that as hexadecimal digits.
+///
+/// # Errors
+/// Where no port can be had.
+pub fn server() -> io::Result<(quinn::Endpoint, String)> {
+    use sha2::Digest;
+    let made = rcgen::generate_simple_self_signed(vec![NAME.to_owned()]).map_err(io::Error::other)?;
+    let key = rustls::pki_types::PrivateKeyDer::try_from(made.signing_key.serialize_der());
+    let key = key.map_err(io::Error::other)?;
+    let pin = sha2::Sha256::digest(made.cert.der().as_ref());
+    let pin = pin.iter().map(|byte| format!("{byte:02x}")).collect();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let builder = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(io::Error::other)?;
+    let tls = builder.with_no_client_auth().with_single_cert(vec![made.cert.der().clone()], key);
+    let mut tls = tls.map_err(io::Error::other)?;
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    let crypto = quinn::crypto::rustls::QuicServerConfig::try_from(tls).map_err(io::Error::other)?;
+    let config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
+    Ok((quinn::Endpoint::server(config, SocketAddr::from(([127, 0, 0, 1], 0)))?, pin))
+}
+
 /// What a client trusts.
 fn tls(trusted: &[CertificateDer<'static>], alpn: &[u8]) -> io::Result<rustls::ClientConfig> {
     let mut roots = rustls::RootCertStore::empty();
--- a/crates/zookeeper/src/server.rs
+++ b/crates/zookeeper/src/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use woodgap_membership::Entry;
+use woodgap_membership::{pin_of, Entry, Transport};
 
 /// Bytes of a node's data that are read, at most.
 pub const LONGEST_DATA: usize = 4_096;
@@ -23,6 +23,17 @@
     Terminating,
 }
 
+/// What a server speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Protocol {
+    /// HTTP/1.1.
+    #[default]
+    Http1,
+    /// HTTP/3.
+    Http3,
+}
+
 /// A server's data, as JSON. A field that is not known makes it unreadable: who misspells `phase` is to hear
 /// of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,6 +44,12 @@
     pub id: Option<String>,
     /// Where it listens: `ADDRESS:PORT`.
     pub address: SocketAddr,
+    /// What it speaks.
+    #[serde(default)]
+    pub protocol: Protocol,
+    /// With HTTP/3: SHA-256 of its certificate in DER, as 64 hexadecimal digits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pin: Option<String>,
     /// Its zone.
     #[serde(default)]
     pub zone: String,
@@ -83,9 +100,18 @@
     if server.address.port() == 0 || server.address.ip().is_unspecified() {
         return Err("address: give one that can be connected to".to_owned());
     }
+    let transport = match (server.protocol, server.pin.as_deref().map(pin_of)) {
+        (Protocol::Http1, None) => Transport::Http1,
+        (Protocol::Http3, Some(Some(pin))) => Transport::Http3 { pin },
+        (Protocol::Http1, Some(_)) => return Err("pin: only with \"protocol\": \"http3\"".to_owned()),
+        (Protocol::Http3, _) => {
+            return Err("pin: give the certificate's SHA-256, 64 hexadecimal digits".to_owned())
+        }
+    };
     Ok(Entry {
         id,
         address: server.address,
+        transport,
         zone: server.zone,
         cell: server.cell,
         size: server.size,
@@ -120,6 +146,9 @@
             (r#"{"address": "10.0.0.1:80", "size": 0}"#, "size"),
             (r#"{"address": "10.0.0.1:80", "size": 1e300}"#, "size"),
             (r#"{"address": "10.0.0.1:80", "id": "a/b"}"#, "id"),
+            (r#"{"address": "10.0.0.1:80", "protocol": "http3"}"#, "pin"),
+            (r#"{"address": "10.0.0.1:80", "protocol": "http3", "pin": "ab"}"#, "pin"),
+            (r#"{"address": "10.0.0.1:80", "protocol": "http2"}"#, "http2"),
         ] {
             let error = read("s", bad.as_bytes()).unwrap_err();
             assert!(error.contains(why), "{bad}: {error}");
