--- a/crates/node/src/upstream/http3.rs
+++ b/crates/node/src/upstream/http3.rs
@@ -218,10 +218,10 @@
 
 impl Link {
     async fn dial(addr: SocketAddr, pin: [u8; 32], epoch: u64, permit: Permit) -> io::Result<Link> {
-        let any = SocketAddr::from(match addr {
+        let any: SocketAddr = match addr {
             SocketAddr::V4(_) => ([0u8; 4], 0).into(),
-            SocketAddr::V6(_) => SocketAddr::from(([0u16; 8], 0)),
-        });
+            SocketAddr::V6(_) => ([0u16; 8], 0).into(),
+        };
         let endpoint = quinn::Endpoint::client(any)?;
         let name = addr.ip().to_string();
         let connecting = endpoint.connect_with(config(pin)?, addr, &name).map_err(io::Error::other)?;
--- a/crates/testkit/src/http3.rs
+++ b/crates/testkit/src/http3.rs
@@ -122,6 +122,10 @@
         let mut transport = quinn::TransportConfig::default();
         transport.max_idle_timeout(Some(Duration::from_secs(10).try_into().map_err(io::Error::other)?));
         config.transport_config(Arc::new(transport));
+        Connection::with(addr, config).await
+    }
+
+    async fn with(addr: SocketAddr, config: quinn::ClientConfig) -> io::Result<Connection> {
         let endpoint = quinn::Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let quic = endpoint.connect_with(config, addr, NAME).map_err(io::Error::other)?.await?;
         let (mut driver, sender) =
@@ -130,6 +134,28 @@
         Ok(Connection { sender, quic, endpoint, driver })
     }
 
+    /// Connects, lets go, and connects again with the session that was got, so as to send before the handshake is
+    /// whole: whether the node lets a client do that.
+    ///
+    /// # Errors
+    /// As the handshakes fail.
+    pub async fn is_early_data_taken(
+        addr: SocketAddr,
+        trusted: &[CertificateDer<'static>],
+    ) -> io::Result<bool> {
+        let mut tls = tls(trusted, b"h3")?;
+        tls.enable_early_data = true;
+        let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(tls).map_err(io::Error::other)?;
+        let config = quinn::ClientConfig::new(Arc::new(crypto));
+        let endpoint = quinn::Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let connect = || endpoint.connect_with(config.clone(), addr, NAME).map_err(io::Error::other);
+        let first = connect()?.await?;
+        // The ticket comes behind the handshake.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        first.close(quinn::VarInt::from_u32(Code::H3_NO_ERROR.value() as u32), b"");
+        Ok(connect()?.into_0rtt().is_ok())
+    }
+
     /// Whether it can carry another request.
     pub fn is_open(&self) -> bool {
         self.quic.close_reason().is_none()
@@ -177,6 +203,31 @@
     }
 }
 
+/// First datagrams of so many clients, which never answer what comes back: for floods.
+///
+/// # Errors
+/// Where no port can be had.
+pub async fn first_flights(count: usize) -> io::Result<Vec<Vec<u8>>> {
+    let sink = tokio::net::UdpSocket::bind("127.0.0.1:0").await?;
+    let to = sink.local_addr()?;
+    let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(tls(&[], b"h3")?);
+    let config = quinn::ClientConfig::new(Arc::new(crypto.map_err(io::Error::other)?));
+    let endpoint = quinn::Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let mut flights: std::collections::BTreeMap<Vec<u8>, Vec<u8>> = Default::default();
+    let mut buffer = vec![0; 2_048];
+    while flights.len() < count {
+        let connecting = endpoint.connect_with(config.clone(), to, NAME).map_err(io::Error::other)?;
+        let length = sink.recv(&mut buffer).await?;
+        drop(connecting);
+        // The id that the client gave its server: at byte 6, its length before it (RFC 9000, section 17.2).
+        let id = usize::from(buffer[5]);
+        if length >= 1_200 {
+            flights.insert(buffer[6..6 + id.min(20)].to_vec(), buffer[..length].to_vec());
+        }
+    }
+    Ok(flights.into_values().collect())
+}
+
 /// A request's head and body.
 ///
 /// # Errors
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod hosted;
 pub mod http3;
 pub mod load;
+pub mod relay;
