--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -5,6 +5,7 @@
 //! measure, whatever the figures.
 
 mod ephemeral;
+mod http3;
 mod process;
 mod tenants;
 
@@ -41,6 +42,21 @@
         #[arg(long)]
         only: Option<String>,
     },
+    /// HTTP/3 beside HTTP/1.1: one load over both, loss, migrations, bounds, and the platform's node as it was.
+    Http3 {
+        /// Longer rounds.
+        #[arg(long)]
+        long: bool,
+        /// A program `woodgap` built from the tree before, to compare the platform's node with.
+        #[arg(long)]
+        before: Option<PathBuf>,
+        /// The platform's node as `deploy/balancer.toml` builds it; without it that part is left out.
+        #[arg(long)]
+        platform: Option<PathBuf>,
+        /// One part alone: load, migrations, bounds or platform.
+        #[arg(long)]
+        only: Option<String>,
+    },
     /// Servers as ephemeral nodes, and a catalogue that nodes share.
     Ephemeral {
         /// A whole minute out of reach, and more changes.
@@ -64,6 +80,9 @@
                 Proof::Tenants { long, before, platform, flood, only } => {
                     tenants::measure(long, before, platform, flood, only.as_deref()).await
                 }
+                Proof::Http3 { long, before, platform, only } => {
+                    http3::measure(long, before, platform, only.as_deref()).await
+                }
                 Proof::Ephemeral { long, only } => ephemeral::measure(long, only.as_deref()).await,
             }
         })
--- a/crates/proof/src/tenants.rs
+++ b/crates/proof/src/tenants.rs
@@ -331,7 +331,8 @@
     Ok((node.memory_kib("VmRSS")?, used, node.memory_kib("RssAnon")?))
 }
 
-async fn compared(now: Option<PathBuf>, before: Option<&Path>) -> Result<Value, Fault> {
+/// The platform's node now and before, in turns under one load.
+pub async fn compared(now: Option<PathBuf>, before: Option<&Path>) -> Result<Value, Fault> {
     let fast = Make { cores: 64, queue: 4_096, remember: false, http3: false };
     let mut servers = Vec::new();
     for _ in 0..6 {
