--- a/crates/node/tests/http3.rs
+++ b/crates/node/tests/http3.rs
@@ -467,6 +467,89 @@
     assert_eq!((second_effects([&backend]), backend.requests()), (0, 80));
 }
 
+// A new certificate is put in place under load and the node told (SIGHUP): connections go on, new ones have the
+// new certificate, over UDP and TCP.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_certificate_is_changed_under_load() {
+    let place = place().await;
+    let backend = Backend::start(AT_ONCE).await.unwrap();
+    place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
+    let quic = std::sync::Arc::new(place.connect().await);
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let load = {
+        let (quic, stop) = (quic.clone(), stop.clone());
+        tokio::spawn(async move {
+            let mut asked = 0;
+            while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                let one = Ask::renew("acme", format!("c{asked}"));
+                assert_eq!(quic.ask(&one).await.unwrap().status, 200);
+                asked += 1;
+            }
+            asked
+        })
+    };
+    let other = tempfile::tempdir().unwrap();
+    let second = certificate(other.path()).unwrap();
+    std::fs::copy(&second.chain, &place.certificate.chain).unwrap();
+    std::fs::copy(&second.key, &place.certificate.key).unwrap();
+    let told = std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
+    assert!(told.unwrap().success());
+    let new = std::slice::from_ref(&second.der);
+    until("new connections have the new one", || async {
+        Connection::open(place.site.addr, new).await.is_ok()
+    })
+    .await;
+    assert!(Connection::open(place.site.addr, std::slice::from_ref(&place.certificate.der)).await.is_err());
+    let mut tcp = client::Connection::open_tls(place.site.addr, tls_http1(new).unwrap()).await.unwrap();
+    assert_eq!(tcp.ask(&Ask::lookup("acme", "tcp")).await.unwrap().status, 200);
+    stop.store(true, std::sync::atomic::Ordering::SeqCst);
+    assert!(load.await.unwrap() > 0 && quic.is_open());
+    assert_eq!(quic.ask(&Ask::lookup("acme", "old")).await.unwrap().status, 200);
+    assert_eq!(second_effects([&backend]), 0);
+}
+
+// SIGTERM under load: every request is answered, or its stream reset as one that never ran; a client that asks
+// those again elsewhere runs nothing twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_drain_under_load_leaves_every_request_with_one_outcome() {
+    let mut place = place().await;
+    let backend = Backend::start(Does::Serve(Duration::from_millis(10))).await.unwrap();
+    place.site.admin.tenant("acme", &spec(4_000), &[backend.addr]).await.unwrap();
+    let mut clients = tokio::task::JoinSet::new();
+    for c in 0..4 {
+        let quic = place.connect().await;
+        clients.spawn(async move {
+            let (mut answered, mut refused) = (Vec::new(), Vec::new());
+            for n in 0.. {
+                let txn = format!("d{c}-{n}");
+                match quic.ask(&Ask::renew("acme", txn.clone()).within(Duration::from_secs(4))).await {
+                    Ok(answer) if answer.status == 200 => answered.push(txn),
+                    Ok(answer) => panic!("{txn}: {answer:?}"),
+                    Err(_) => {
+                        refused.push(txn);
+                        break;
+                    }
+                }
+            }
+            (answered, refused)
+        });
+    }
+    until("load", || async { backend.requests() > 100 }).await;
+    let node = place.site.node.take().unwrap();
+    tokio::task::spawn_blocking(move || node.stop()).await.unwrap().unwrap();
+    let ran = backend.ran();
+    while let Some(client) = clients.join_next().await {
+        let (answered, refused) = client.unwrap();
+        assert!(answered.len() > 10 && refused.len() == 1);
+        for txn in answered {
+            assert_eq!(ran.get(&txn), Some(&1), "{txn}");
+        }
+        for txn in refused {
+            assert_eq!(ran.get(&txn), None, "{txn} ran though it was not taken");
+        }
+    }
+}
+
 // Early data could be replayed: none is taken, whatever the request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn early_data_is_not_taken() {
