--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -51,7 +51,7 @@
 const STREAM_WINDOW: u32 = (LONGEST_BODY + LONGEST_HEAD) as u32;
 const WINDOW: u32 = 4 * STREAM_WINDOW;
 /// Bytes of answers that are held for a client that reads slowly.
-const SEND_WINDOW: u64 = 4 * LONGEST_BODY as u64;
+const SEND_WINDOW: u32 = 4 * LONGEST_BODY as u32;
 /// Bytes of datagrams that are kept of a handshake before it is taken up, and of all of them.
 const INCOMING_BYTES: u64 = 8 * 1024;
 const ALL_INCOMING_BYTES: u64 = 1 << 20;
@@ -59,11 +59,17 @@
 /// 4.2).
 const FORBIDDEN: [&str; 5] = ["connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"];
 
-/// How a listener speaks QUIC.
+/// Bytes that may be under way on a connection each way, of what memory there is for it: an eighth, and never
+/// less than one request or answer needs.
+fn window(memory: usize, least: u32, most: u32) -> u32 {
+    u32::try_from(memory / 8).unwrap_or(u32::MAX).clamp(least, most)
+}
+
+/// How a listener speaks QUIC, with so many bytes of memory for each connection.
 ///
 /// # Errors
 /// As the TLS library says.
-pub fn config(tls: rustls::ServerConfig) -> Result<quinn::ServerConfig, String> {
+pub fn config(tls: rustls::ServerConfig, memory: usize) -> Result<quinn::ServerConfig, String> {
     let crypto = quinn::crypto::rustls::QuicServerConfig::try_from(tls).map_err(|error| error.to_string())?;
     let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
     let mut transport = quinn::TransportConfig::default();
@@ -72,8 +78,8 @@
         // Control, and two of QPACK; what grease adds is room for one more.
         .max_concurrent_uni_streams(4u32.into())
         .stream_receive_window(STREAM_WINDOW.into())
-        .receive_window(WINDOW.into())
-        .send_window(SEND_WINDOW)
+        .receive_window(window(memory, STREAM_WINDOW, WINDOW).into())
+        .send_window(window(memory, LONGEST_BODY as u32, SEND_WINDOW).into())
         .datagram_receive_buffer_size(None)
         .max_idle_timeout(IDLE.try_into().ok());
     config
@@ -413,6 +419,13 @@
         assert!(plainly(request(&[], "https://me@clubs.example/api")).is_err());
     }
 
+    #[test]
+    fn windows_follow_the_memory_that_there_is() {
+        assert_eq!(window(1 << 30, STREAM_WINDOW, WINDOW), WINDOW);
+        assert_eq!(window(1 << 20, STREAM_WINDOW, WINDOW), 1 << 17);
+        assert_eq!(window(0, STREAM_WINDOW, WINDOW), STREAM_WINDOW);
+    }
+
     #[test]
     fn the_authority_is_the_host() {
         let read = plainly(request(&[("te", "trailers")], "https://clubs.example/api")).unwrap();
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -115,8 +115,9 @@
     certificate: Option<Arc<Certificate>>,
 }
 
-/// Opens a listener: TCP and UDP at one port, where it speaks both.
-async fn open(listen: &Listen) -> Result<Opened, Box<dyn Error>> {
+/// Opens a listener: TCP and UDP at one port, where it speaks both. `memory` is what there is for a connection, in
+/// bytes.
+async fn open(listen: &Listen, memory: usize) -> Result<Opened, Box<dyn Error>> {
     let certificate = match &listen.tls {
         Some((chain, key)) => Some(Certificate::load(chain, key)?),
         None => None,
@@ -139,7 +140,7 @@
     }
     let mut quic = None;
     if let (true, Some(certificate)) = (http3, &certificate) {
-        let config = http3::config(certificate.config(&[b"h3"], true)?)?;
+        let config = http3::config(certificate.config(&[b"h3"], true)?, memory)?;
         let endpoint = quinn::Endpoint::server(config, address)?;
         address = endpoint.local_addr()?;
         quic = Some((endpoint, listen.name.as_str().into()));
@@ -169,10 +170,14 @@
         None => store_of(&config, service.as_ref())?,
     };
     let catalogue = store.load().map_err(|error| format!("{}: {error}", config.store))?;
+    let admin_sockets = config.admin.as_ref().map_or(0, |admin| admin.connections + 8);
+    let zookeeper_sockets = service.as_ref().map_or(0, |_| ZOOKEEPER_DESCRIPTORS);
+    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + admin_sockets + zookeeper_sockets).max(4);
+    let connections = ((all as f64 * CLIENTS) as usize).max(1);
     let mut addresses = Addresses { listeners: Vec::new(), admin: None };
     let mut doors = Vec::new();
     for listen in &config.listen {
-        let door = open(listen).await;
+        let door = open(listen, config.memory / connections).await;
         let door = door.map_err(|e| format!("listen '{}' at {}: {e}", listen.name, listen.address))?;
         addresses.listeners.push((listen.name.clone(), door.address));
         doors.push(door);
@@ -188,10 +193,6 @@
         }
         None => None,
     };
-    let admin_sockets = config.admin.as_ref().map_or(0, |admin| admin.connections + 8);
-    let zookeeper_sockets = service.as_ref().map_or(0, |_| ZOOKEEPER_DESCRIPTORS);
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + admin_sockets + zookeeper_sockets).max(4);
-    let connections = ((all as f64 * CLIENTS) as usize).max(1);
     // Each request held may need a socket to a server.
     let held = config.held.min(all - connections).min((config.memory / HELD_BYTES).max(1));
     let bounds = Bounds {
--- a/crates/node/tests/http3.rs
+++ b/crates/node/tests/http3.rs
@@ -458,7 +458,13 @@
                 tokio::spawn(async move { quic.ask(&one.within(Duration::from_secs(8))).await })
             })
             .collect();
-        quic.rebind().unwrap();
+        // By turns the client moves, to another port and another connection id, and a translator on the way gives it
+        // another address that it knows nothing of.
+        if round % 2 == 0 {
+            quic.rebind().unwrap();
+        } else {
+            relay.rebind();
+        }
         for one in asks {
             assert_eq!(one.await.unwrap().unwrap().status, 200, "{round}");
         }
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -25,6 +25,8 @@
     ails: Mutex<Ails>,
     seed: AtomicU64,
     dropped: AtomicU64,
+    /// New with each change of the addresses that the server sees.
+    bindings: AtomicU64,
 }
 
 impl Shared {
@@ -64,6 +66,7 @@
             ails: Mutex::default(),
             seed: AtomicU64::new(seed),
             dropped: AtomicU64::new(0),
+            bindings: AtomicU64::new(0),
         });
         let state = shared.clone();
         let task = tokio::spawn(async move {
@@ -71,8 +74,13 @@
             let mut backs: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
             let mut readers = tokio::task::JoinSet::new();
             let mut buffer = vec![0; 65_536];
+            let mut bindings = 0;
             loop {
                 let Ok((length, from)) = front.recv_from(&mut buffer).await else { continue };
+                let now = state.bindings.load(Ordering::Relaxed);
+                if std::mem::replace(&mut bindings, now) != now {
+                    backs.clear();
+                }
                 let back = match backs.get(&from) {
                     Some(back) => back.clone(),
                     None => {
@@ -101,6 +109,12 @@
         *self.shared.ails.lock().unwrap_or_else(PoisonError::into_inner) = ails;
     }
 
+    /// From the next datagram on the server sees other addresses, as behind a translator that forgot its
+    /// bindings: the clients know nothing of it.
+    pub fn rebind(&self) {
+        self.shared.bindings.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Datagrams that were lost so far.
     pub fn dropped(&self) -> u64 {
         self.shared.dropped.load(Ordering::Relaxed)
