Keep a test's silent server silent

Two lines let it turn requests away for a moment: with two cores a held request could see that, once in many runs, and was rightly refused where the test wants a failure.

--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -80,8 +80,6 @@
     let held = asks(site.addr, held);
     until("held at the silent server", || async { silent.requests() == 9 }).await;
     // These find a server that refuses, and then wait for a connection to one that does not accept.
-    silent.does(Does::TurnAway);
-    silent.does(Does::Hold);
     let between = Backend::start(Does::TurnAway).await.unwrap();
     site.admin.tenant("between", &document, &[between.addr, deaf_addr]).await.unwrap();
     let tries = asks(site.addr, (0..8).map(|n| Ask::renew("between", format!("b{n}"))).collect());
