Tell what keeps a path or registration from working; bound what waits for a stream

A path that the node may not read, or a registration that is not allowed, was tried again for ever without a word. Ends of the session were not logged. Streams that were rejected, or whose head could not be read, left an entry each on their connection for its whole life. SIGHUP ended a hosted node without certificates.

Change: the path's status and the log name the reason; the session's state and a refused registration are logged when they change; a missing chroot is named as what to look for; 256 streams are remembered at most; SIGHUP is always taken.

Measured: 10,000 rejected streams leave 256 entries; the tests of both crates pass.

--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -344,7 +344,7 @@
                 let length = length.or((request.method() == Method::GET).then_some(0));
                 let request = request.map(|()| Incoming3 { stream: receive, length, seen: 0 });
                 let handled = self.handle(request, body_by, &open.0.conn, listener, meter);
-                let Some(stopped) = stopped else { return };
+                let stopped = stopped.unwrap_or_else(|| Box::pin(std::future::pending()));
                 // Dropped, the request is withdrawn: its attempt ends and its place is free.
                 tokio::select! {
                     (response, _) = handled => response,
--- a/crates/node/src/front/quic.rs
+++ b/crates/node/src/front/quic.rs
@@ -3,7 +3,7 @@
 //!
 //! `h3-quinn` keeps that to itself until something is written.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -24,11 +24,19 @@
 
 /// The streams of a connection whose client may yet give them up, by their ids.
 #[derive(Clone, Default)]
-pub struct Stops(Arc<Mutex<HashMap<u64, Stopped>>>);
+pub struct Stops(Arc<Mutex<BTreeMap<u64, Stopped>>>);
+
+/// Streams that are remembered without a request that was read on them, at most; the oldest are forgotten.
+const MOST_UNREAD: usize = 256;
 
 impl Stops {
     fn put(&self, id: StreamId, stopped: Stopped) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.into_inner(), stopped);
+        let mut stops = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        stops.insert(id.into_inner(), stopped);
+        // Of those that were rejected or could not be read nobody asks.
+        while stops.len() > MOST_UNREAD {
+            stops.pop_first();
+        }
     }
 
     /// What tells of one stream; it is there once.
@@ -322,3 +330,21 @@
         id(self.stream.id())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // A client whose streams are all rejected, or never bear a head that can be read.
+    #[test]
+    fn streams_that_nobody_asks_for_are_forgotten() {
+        let stops = Stops::default();
+        let id = |n: u64| StreamId::try_from(4 * n).unwrap();
+        for n in 0..10_000 {
+            stops.put(id(n), Box::pin(std::future::pending()));
+        }
+        assert_eq!(stops.0.lock().unwrap().len(), MOST_UNREAD);
+        assert!(stops.take(id(9_999)).is_some() && stops.take(id(9_999)).is_none());
+        assert!(stops.take(id(0)).is_none());
+    }
+}
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -24,12 +24,12 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
 use woodgap_membership::SourceId;
 use woodgap_tenancy::Uid;
-use woodgap_zookeeper::register::{Node, Register};
-use woodgap_zookeeper::session::Service;
+use woodgap_zookeeper::register::{Node, Register, Standing as Registered};
+use woodgap_zookeeper::session::{Service, Status};
 use woodgap_zookeeper::view::News;
 
 use crate::admin;
@@ -245,8 +245,8 @@
             spawn_local(clients.clone().accept3(endpoint, name));
         }
     }
-    if !certificates.is_empty() {
-        // Before the node is ready: an unhandled SIGHUP ends the process.
+    {
+        // Before the node is ready, and without certificates too: an unhandled SIGHUP ends the process.
         let mut hangup = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
         spawn_local(async move {
             while hangup.recv().await.is_some() {
@@ -260,6 +260,12 @@
         });
     }
     ready(addresses);
+    if let Some(service) = &service {
+        spawn_local(tell_session(service.status()));
+    }
+    if let Some(registration) = &registration {
+        spawn_local(tell_registration(registration.standing()));
+    }
     let loads = async {
         let Some(registration) = &registration else { return std::future::pending().await };
         loop {
@@ -284,6 +290,55 @@
     Ok(())
 }
 
+/// Logs how the session with the coordination service stands, when that changes.
+async fn tell_session(mut status: watch::Receiver<Status>) {
+    let mut told = None;
+    loop {
+        let now = {
+            let status = status.borrow_and_update();
+            if status.connected {
+                None
+            } else {
+                Some(status.why.clone())
+            }
+        };
+        if told.as_ref() != Some(&now) {
+            match &now {
+                None => crate::log::line(format_args!("zookeeper: connected")),
+                Some(why) => crate::log::line(format_args!("zookeeper: no connection: {why}")),
+            }
+            told = Some(now);
+        }
+        if status.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Logs what keeps the node from being registered.
+async fn tell_registration(mut standing: watch::Receiver<Registered>) {
+    let mut told = None;
+    loop {
+        let now = match &*standing.borrow_and_update() {
+            Registered::Taken => Some("another process has the name; it is waited for".to_owned()),
+            Registered::Refused(why) => Some(format!("the service does not let it: {why}")),
+            // Lost with the connection, which is told by itself.
+            Registered::Unknown => told.clone(),
+            Registered::Registered | Registered::Withdrawn => None,
+        };
+        if now != told {
+            match &now {
+                Some(why) => crate::log::line(format_args!("zookeeper: the node is not registered: {why}")),
+                None => crate::log::line(format_args!("zookeeper: the node is registered or withdrawn")),
+            }
+            told = now;
+        }
+        if standing.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Registers the node, where it is to be.
 fn registration(
     config: &HostedConfig,
--- a/crates/node/src/store/shared.rs
+++ b/crates/node/src/store/shared.rs
@@ -565,7 +565,13 @@
     /// Serves and follows until the connection is no good any more.
     async fn serve(&self, link: &Link) -> Result<(), Stop> {
         for folder in ["t", "log"] {
-            link.ensure(&format!("{}/{folder}", self.root)).await?;
+            let path = format!("{}/{folder}", self.root);
+            link.ensure(&path).await.map_err(|error| match Stop::from(error) {
+                Stop::Nonsense(why) => {
+                    nonsense(&path, format!("it cannot be made ({why}): is the chroot there?"))
+                }
+                Stop::Lost => Stop::Lost,
+            })?;
         }
         // A member that lags behind would look like a catalogue that went back.
         link.client.sync(&self.root).await?;
--- a/crates/zookeeper/src/pool.rs
+++ b/crates/zookeeper/src/pool.rs
@@ -10,7 +10,7 @@
 use zookeeper_client::{Error, EventType, WatchedEvent};
 
 use crate::session::{Link, Running, Work};
-use crate::view::{News, View};
+use crate::view::{Fault, News, View};
 
 /// Two rounds of reads of a path are at least this far apart: children that come and go faster are read
 /// together.
@@ -125,8 +125,15 @@
 impl Work for Pool {
     fn run(self: Arc<Self>, link: Link) -> Running {
         Box::pin(async move {
-            // Whatever failed, the next run reads everything again.
-            let _ = self.follow(&link).await;
+            // Whatever failed, the next run reads everything again. A lost connection is told by its end; anything
+            // else stays until somebody puts it right, and has to be seen.
+            match self.follow(&link).await {
+                Ok(()) | Err(Error::ConnectionLoss | Error::SessionExpired | Error::ClientClosed) => {}
+                Err(error) => {
+                    let fault = Fault { child: String::new(), problem: format!("cannot be read: {error}") };
+                    (self.tell)(News { told: Told::Lost, faults: vec![fault] });
+                }
+            }
         })
     }
 
--- a/crates/zookeeper/src/register.rs
+++ b/crates/zookeeper/src/register.rs
@@ -39,6 +39,8 @@
     Withdrawn,
     /// Another process has the name.
     Taken,
+    /// The service does not let it; why.
+    Refused(String),
 }
 
 struct Keeper {
@@ -178,7 +180,10 @@
 impl Work for Keeper {
     fn run(self: Arc<Self>, link: Link) -> Running {
         Box::pin(async move {
-            let _ = self.keep(&link).await;
+            match self.keep(&link).await {
+                Ok(()) | Err(Error::ConnectionLoss | Error::SessionExpired | Error::ClientClosed) => {}
+                Err(error) => drop(self.standing.send_replace(Standing::Refused(error.to_string()))),
+            }
         })
     }
 
--- a/crates/zookeeper/src/view.rs
+++ b/crates/zookeeper/src/view.rs
@@ -13,7 +13,7 @@
 /// A child whose entry is left out.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Fault {
-    /// Its name.
+    /// Its name; empty where it is the path itself.
     pub child: String,
     /// Why it is left out.
     pub problem: String,
--- a/crates/zookeeper/tests/pool.rs
+++ b/crates/zookeeper/tests/pool.rs
@@ -302,3 +302,21 @@
     assert!(ear.lock().unwrap().faults[0].problem.contains("authorized"));
     assert_eq!(ids(&ear), ["a"]);
 }
+
+// A path that this node may not read: the view stays as it was, and the reason is told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_path_that_may_not_be_read_says_so() {
+    use woodgap_zookeeper::zookeeper_client::{Acls, Client, CreateMode};
+    let service = start().await;
+    let owner = Client::connector().with_auth("digest", b"other:else");
+    let owner = owner.connect(&service.addr.to_string()).await.unwrap();
+    owner.create("/pools/closed", b"", &CreateMode::Persistent.with_acls(Acls::creator_all())).await.unwrap();
+    let keeper = connect(&service);
+    let (pool, ear) = listen("/pools/closed");
+    let _going = keeper.go(pool);
+    until("the reason", || {
+        let heard = ear.lock().unwrap();
+        heard.lost && heard.faults.iter().any(|fault| fault.problem.contains("authorized"))
+    })
+    .await;
+}
--- a/crates/zookeeper/tests/register.rs
+++ b/crates/zookeeper/tests/register.rs
@@ -137,3 +137,20 @@
     registered(&register).await;
     assert_eq!(Some(there(&service).unwrap().1), keeper.status().borrow().session);
 }
+
+// The service does not let the node register: it says why, and goes on looking.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_registration_that_is_not_allowed_says_why() {
+    use woodgap_zookeeper::zookeeper_client::{Acls, Client, CreateMode};
+    let service = start().await;
+    let owner = Client::connector().with_auth("digest", b"other:else");
+    let owner = owner.connect(&service.addr.to_string()).await.unwrap();
+    owner.create("/fronts", b"", &CreateMode::Persistent.with_acls(Acls::creator_all())).await.unwrap();
+    let keeper = connect(&service);
+    let register = Register::start(&keeper, PATH.into(), node("one"));
+    let mut standing = register.standing();
+    let refused = standing
+        .wait_for(|standing| matches!(standing, Standing::Refused(why) if why.contains("authorized")));
+    tokio::time::timeout(PATIENCE, refused).await.unwrap().unwrap();
+    assert_eq!(there(&service), None);
+}
