Wait for a ticket, not a time; write shared pieces once

The test of early data slept 0.1 s for the server's ticket and passed without one; several places said the same thing twice.

Change: the client tells when a ticket has come, and the test fails if none does. The catalogue's servers go to the merge without a detour over a list, views are made in one place, TLS on TCP is one function in both builds, the proofs share the platform's configuration and their spread, the pool's tests their beginning. A hangup without certificates has a test.

--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -67,7 +67,6 @@
     }
 
     /// Speaks TLS first where the listener does.
-    #[cfg(feature = "hosted")]
     async fn shake(
         self: Rc<Self>,
         stream: TcpStream,
@@ -75,24 +74,14 @@
         refuse: bool,
         door: Door,
     ) {
-        let Some(tls) = &door.tls else { return self.serve(stream, permits, refuse, door).await };
-        let shaken = tokio::time::timeout(SLOW, tls.accept(stream)).await;
-        if let Ok(Ok(stream)) = shaken {
-            self.serve(stream, permits, refuse, door).await;
-        } else {
+        #[cfg(feature = "hosted")]
+        if let Some(tls) = &door.tls {
+            if let Ok(Ok(stream)) = tokio::time::timeout(SLOW, tls.accept(stream)).await {
+                return self.serve(stream, permits, refuse, door).await;
+            }
             drop(permits);
-            self.ended.notify_waiters();
+            return self.ended.notify_waiters();
         }
-    }
-
-    #[cfg(not(feature = "hosted"))]
-    async fn shake(
-        self: Rc<Self>,
-        stream: TcpStream,
-        permits: (Permit, Option<Permit>),
-        refuse: bool,
-        door: Door,
-    ) {
         self.serve(stream, permits, refuse, door).await;
     }
 
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -14,10 +14,8 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use woodgap_decisions::settings::Names;
-use woodgap_decisions::{
-    Class, Discovery, KeyScope, Semantics, ServerState, Settings, WeightSource, WorthBy,
-};
-use woodgap_membership::{SourceId, Standing as SourceStanding, Told};
+use woodgap_decisions::{Class, Discovery, KeyScope, Semantics, Settings, WeightSource, WorthBy};
+use woodgap_membership::{Entry as Known, SourceId, Standing as SourceStanding, Told};
 use woodgap_tenancy::catalogue::{claims_of, MemberView};
 use woodgap_tenancy::quota::Quota;
 use woodgap_tenancy::route::{tenant_of, Claim, Unrouted};
@@ -36,8 +34,8 @@
 use crate::pool::driver::{Driver, Look, Msg};
 use crate::pool::{Account, Counted, Service};
 use crate::sockets::Sockets;
-use crate::sources::discovery::{Entry as Listed, List};
-use crate::sources::views::{believed, Views};
+use crate::sources::discovery::List;
+use crate::sources::views::{believed, Views, LISTED};
 use crate::upstream::servers::Servers;
 
 /// When a request comes back that the node had no room or no turn for.
@@ -114,15 +112,20 @@
         if self.view.state != State::Active {
             return List { complete: true, ..List::default() };
         }
-        let view = &self.view;
-        let views = self.views.get_or_insert_with(|| {
+        let views = self.views();
+        let (servers, due) = (views.list(), views.due());
+        self.due = due.map(|due| Instant::now() + due);
+        servers
+    }
+
+    /// What its sources tell, with its documents.
+    fn views(&mut self) -> &mut Views {
+        let members = &self.view.members;
+        self.views.get_or_insert_with(|| {
             let mut views = Box::new(Views::new("catalogue", believed()));
-            views.listed(&list(&view.members));
+            views.told(LISTED, documents(members));
             views
-        });
-        let servers = views.list();
-        self.due = views.due().map(|due| Instant::now() + due);
-        servers
+        })
     }
 
     /// Tells its pools of its servers.
@@ -260,7 +263,7 @@
         let (old, new) = (entry.view.spec.clone(), view.spec.clone());
         entry.view = view;
         if let Some(views) = &mut entry.views {
-            views.listed(&list(&entry.view.members));
+            views.told(LISTED, documents(&entry.view.members));
         }
         let touched = self.follow(entry);
         entry.tell();
@@ -324,13 +327,8 @@
                 crate::log::line(format_args!("tenant {}: too many paths are watched", entry.view.name));
                 return touched;
             };
-            let (members, bounds) = (&entry.view.members, paths.bounds.clone());
-            let views = entry.views.get_or_insert_with(|| {
-                let mut views = Box::new(Views::new("catalogue", believed()));
-                views.listed(&list(members));
-                views
-            });
-            views.bounded(bounds);
+            let views = entry.views();
+            views.bounded(paths.bounds.clone());
             views.add(source, &format!("ephemeral {path}"));
             entry.path = Some((path.clone(), source));
             if read {
@@ -564,19 +562,19 @@
     }
 }
 
-/// The servers in the form of a list that is whole.
-fn list(members: &[MemberView]) -> List {
-    let entry = |member: &MemberView| Listed {
+/// The catalogue's servers, all of them.
+fn documents(members: &[MemberView]) -> Told {
+    let entry = |member: &MemberView| Known {
         id: member.id.clone(),
-        addr: member.address,
+        address: member.address,
         transport: member.transport,
         zone: member.zone.clone(),
         cell: member.cell,
-        state: if member.in_service { ServerState::InService } else { ServerState::Terminating },
         size: member.size,
-        up_since_ms: member.since_ms,
+        started_ms: Some(member.since_ms),
+        draining: !member.in_service,
     };
-    List { revision: None, complete: true, entries: members.iter().map(entry).collect() }
+    Told::Full(members.iter().map(entry).collect())
 }
 
 /// What a tenant's module goes by.
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -222,3 +222,20 @@
     let again = start(folder.path());
     assert_eq!(again.admin.get("tenants/acme").await.unwrap().status, 200);
 }
+
+// An operator sends SIGHUP to a node that has nothing to read again: it serves on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_hangup_does_not_end_a_node_without_certificates() {
+    let folder = folder(CONFIG);
+    let server = Backend::start(Does::Serve(Duration::ZERO)).await.unwrap();
+    let mut node = start(folder.path());
+    node.admin.tenant("acme", &spec(2_000), &[server.addr]).await.unwrap();
+    let told = Command::new("kill").args(["-HUP", &node.child.id().to_string()]).status().unwrap();
+    assert!(told.success());
+    // Were it to end, it would do so within this many answers.
+    for n in 0..50 {
+        let answer = ask(node.addr, &Ask::lookup("acme", format!("h{n}"))).await.unwrap();
+        assert_eq!(answer.status, 200, "{n}");
+    }
+    assert!(node.child.try_wait().unwrap().is_none());
+}
--- a/crates/proof/src/ephemeral.rs
+++ b/crates/proof/src/ephemeral.rs
@@ -18,7 +18,7 @@
 use woodgap_testkit::load::{self, quantile, Load};
 
 use crate::process::{program, Process};
-use crate::tenants::rounded;
+use crate::tenants::{platform_config, platform_member, rounded};
 
 type Fault = Box<dyn Error>;
 
@@ -128,7 +128,7 @@
                     }
                     let all: Vec<Value> =
                         held.lock().unwrap_or_else(PoisonError::into_inner).values().cloned().collect();
-                    let first = json!({"revision": 1, "complete": true, "members": all}).to_string();
+                    let first = json!({"revision": 41, "complete": true, "members": all}).to_string();
                     let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
                     let mut due = format!("{head}{}", chunk(&first));
                     while stream.write_all(due.as_bytes()).await.is_ok() {
@@ -157,24 +157,10 @@
 /// request, and from the line that tells it.
 async fn by_discovery(ends: usize) -> Result<(Vec<f64>, Vec<f64>, u64, u64), Fault> {
     let boxes = Arc::new(boxes(20).await?);
-    let member = |n: usize, addr: SocketAddr, phase: &str| {
-        json!({"id": format!("s-{n}"), "host_port": addr, "locality": "a", "flavor": "f", "cell": 0,
-            "phase": phase, "size": 1.0, "up_since_ms": 0})
-    };
-    let all = boxes.iter().enumerate().map(|(n, b)| (format!("s-{n}"), member(n, b.addr, "in_service")));
+    let all =
+        boxes.iter().enumerate().map(|(n, b)| (format!("s-{n}"), platform_member(n, b.addr, "in_service")));
     let discovery = Arc::new(Discovery::start(all.clone().collect()).await?);
-    let class = |name: &str, semantics: &str| json!({"name": name, "aim": 1_000_000, "deadline": 2_000_000, "semantics": semantics, "points": 1.0});
-    let config = json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.addr, "seed": "1f",
-        "limits": {"sockets": 1_024, "memory_mb": 192},
-        "known": {"revision": 1, "complete": true, "members": all.map(|(_, m)| m).collect::<Vec<_>>()},
-        "settings": {
-            "group-size": 1, "registry-mode": "push", "weight-source": "nominal",
-            "classes": [class("lookup", "safe"), class("renew", "unsafe")],
-            "tenants": [{"name": "acme", "quota-per-s": 0.0}],
-            "bounds": {"max-attempts": 3, "cancelling": true, "dial-timeout": 250_000, "keepalive": 15_000_000},
-        },
-    });
+    let config = platform_config(discovery.addr, "push", all.map(|(_, member)| member).collect());
     let folder = tempfile::tempdir()?;
     let path = folder.path().join("config.json");
     std::fs::write(&path, config.to_string())?;
@@ -191,20 +177,22 @@
         let part = (random >> 40) as f64 / (1u64 << 24) as f64;
         let late = Duration::from_secs_f64(NOTICE.start + part * (NOTICE.end - NOTICE.start));
         let (boxes, discovery, id) = (boxes.clone(), discovery.clone(), n % 20);
-        let (gone, back) =
-            (member(id, boxes[id].addr, "terminated"), member(id, boxes[id].addr, "in_service"));
+        let (gone, back) = (
+            platform_member(id, boxes[id].addr, "terminated"),
+            platform_member(id, boxes[id].addr, "in_service"),
+        );
         tasks.spawn(async move {
             let ended = Instant::now();
             tokio::time::sleep(late).await;
             let told = Instant::now();
             boxes[id].gone();
-            discovery.tell(2 * n as u64 + 2, &format!("s-{id}"), gone);
+            discovery.tell(2 * n as u64 + 42, &format!("s-{id}"), gone);
             tokio::time::sleep(WINDOW).await;
             let until = told + WINDOW;
             let from = |since| last_send_ms(&boxes[id], since, until);
             let (from_end, from_told) = (from(ended), from(told));
             boxes[id].back();
-            discovery.tell(2 * n as u64 + 3, &format!("s-{id}"), back);
+            discovery.tell(2 * n as u64 + 43, &format!("s-{id}"), back);
             (from_end, from_told)
         });
         tokio::time::sleep(Duration::from_millis(300)).await;
--- a/crates/proof/src/http3.rs
+++ b/crates/proof/src/http3.rs
@@ -17,7 +17,7 @@
 use woodgap_testkit::relay::{Ails, Relay};
 
 use crate::process::{program, Process};
-use crate::tenants::{compared, rounded};
+use crate::tenants::{compared, rounded, spread};
 
 type Fault = Box<dyn Error>;
 
@@ -202,15 +202,10 @@
             of.0.add(made);
         }
     }
-    let middle = |figures: &[f64]| {
-        let mut sorted = figures.to_vec();
-        sorted.sort_by(f64::total_cmp);
-        (quantile(&sorted, 0.5), quantile(&sorted, 0.0), quantile(&sorted, 1.0))
-    };
     let mut figures = json!({});
     for (name, (made, per_s, us)) in [("h3", &mut quic), ("h1", &mut tcp)] {
-        let (rate, least, most) = middle(per_s);
-        let (cost, cheap, dear) = middle(us);
+        let (rate, least, most) = spread(per_s);
+        let (cost, cheap, dear) = spread(us);
         println!(
             "{name}: {rate:.0}/s ({least:.0} to {most:.0}), {cost:.1} us a request, p50 {:.2} p99 {:.2} ms, lost {}",
             made.at(0.5),
@@ -226,7 +221,7 @@
         figures[format!("{name}_lost")] = json!(made.lost);
         figures[format!("{name}_refused")] = json!(made.refused);
     }
-    figures["h3_to_h1_throughput_ratio"] = json!(rounded(middle(&quic.1).0 / middle(&tcp.1).0.max(1e-9)));
+    figures["h3_to_h1_throughput_ratio"] = json!(rounded(spread(&quic.1).0 / spread(&tcp.1).0.max(1e-9)));
     for (part, name) in [(0.0, "no"), (0.01, "1_percent"), (0.05, "5_percent")] {
         let relay = Relay::start(site.node.addr, 7).await?;
         let mut connections = Vec::new();
--- a/crates/proof/src/tenants.rs
+++ b/crates/proof/src/tenants.rs
@@ -1,6 +1,7 @@
 //! Many tenants in one node.
 
 use std::error::Error;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -18,7 +19,7 @@
 type Fault = Box<dyn Error>;
 
 /// Median, least and greatest.
-fn spread(figures: &[f64]) -> (f64, f64, f64) {
+pub fn spread(figures: &[f64]) -> (f64, f64, f64) {
     let mut sorted = figures.to_vec();
     sorted.sort_by(f64::total_cmp);
     (quantile(&sorted, 0.5), quantile(&sorted, 0.0), quantile(&sorted, 1.0))
@@ -297,24 +298,34 @@
     }))
 }
 
-/// The platform's node under one load: its memory at the end and its time on the core.
-async fn platform(program: &Path, servers: &[Backend], round: usize) -> Result<(f64, f64, f64), Fault> {
-    let members: Vec<Value> = servers.iter().enumerate().map(|(i, server)| {
-        json!({"id": format!("s-{i}"), "host_port": server.addr, "locality": "a", "flavor": "f", "cell": 0,
-            "phase": "in_service", "size": 1.0, "up_since_ms": 0})
-    }).collect();
+/// The configuration of a platform's node beside this discovery, in this mode, with these servers known.
+pub fn platform_config(discovery: SocketAddr, mode: &str, members: Vec<Value>) -> Value {
     let class = |name: &str, semantics: &str| json!({"name": name, "aim": 1_000_000, "deadline": 2_000_000, "semantics": semantics, "points": 1.0});
-    let config = json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1f",
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
         "limits": {"sockets": 1_024, "memory_mb": 192},
         "known": {"revision": 41, "complete": true, "members": members},
         "settings": {
-            "group-size": 1, "registry-mode": "ask", "weight-source": "nominal",
+            "group-size": 1, "registry-mode": mode, "weight-source": "nominal",
             "classes": [class("lookup", "safe"), class("renew", "unsafe")],
             "tenants": [{"name": "acme", "quota-per-s": 0.0}],
             "bounds": {"max-attempts": 3, "cancelling": true, "dial-timeout": 250_000, "keepalive": 15_000_000},
         },
-    });
+    })
+}
+
+/// A server as the platform's list has it.
+pub fn platform_member(n: usize, addr: SocketAddr, phase: &str) -> Value {
+    json!({"id": format!("s-{n}"), "host_port": addr, "locality": "a", "flavor": "f", "cell": 0,
+        "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+/// The platform's node under one load: its memory at the end and its time on the core.
+async fn platform(program: &Path, servers: &[Backend], round: usize) -> Result<(f64, f64, f64), Fault> {
+    let members = servers.iter().enumerate().map(|(n, server)| platform_member(n, server.addr, "in_service"));
+    let members = members.collect();
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    let config = platform_config(nowhere, "ask", members);
     let folder = tempfile::tempdir()?;
     let path = folder.path().join("config.json");
     std::fs::write(&path, config.to_string())?;
--- a/crates/testkit/src/http3.rs
+++ b/crates/testkit/src/http3.rs
@@ -10,7 +10,8 @@
 use h3::client::{RequestStream, SendRequest};
 use h3::error::{Code, ConnectionError, StreamError};
 use hyper::{Method, Request};
-use rustls::pki_types::CertificateDer;
+use rustls::client::{Tls12ClientSessionValue, Tls13ClientSessionValue};
+use rustls::pki_types::{CertificateDer, ServerName};
 use tokio::task::JoinHandle;
 
 use crate::client::{Answer, Ask};
@@ -92,6 +93,50 @@
 /// The stream of a request, for tests that do odd things on it.
 pub type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
 
+/// Keeps a client's tickets, and tells when one has come.
+#[derive(Debug)]
+struct Tickets {
+    held: rustls::client::ClientSessionMemoryCache,
+    came: tokio::sync::Notify,
+}
+
+impl Default for Tickets {
+    fn default() -> Self {
+        Tickets { held: rustls::client::ClientSessionMemoryCache::new(8), came: tokio::sync::Notify::new() }
+    }
+}
+
+impl rustls::client::ClientSessionStore for Tickets {
+    fn set_kx_hint(&self, name: ServerName<'static>, group: rustls::NamedGroup) {
+        self.held.set_kx_hint(name, group);
+    }
+
+    fn kx_hint(&self, name: &ServerName<'_>) -> Option<rustls::NamedGroup> {
+        self.held.kx_hint(name)
+    }
+
+    fn set_tls12_session(&self, name: ServerName<'static>, value: Tls12ClientSessionValue) {
+        self.held.set_tls12_session(name, value);
+    }
+
+    fn tls12_session(&self, name: &ServerName<'_>) -> Option<Tls12ClientSessionValue> {
+        self.held.tls12_session(name)
+    }
+
+    fn remove_tls12_session(&self, name: &ServerName<'static>) {
+        self.held.remove_tls12_session(name);
+    }
+
+    fn insert_tls13_ticket(&self, name: ServerName<'static>, value: Tls13ClientSessionValue) {
+        self.held.insert_tls13_ticket(name, value);
+        self.came.notify_one();
+    }
+
+    fn take_tls13_ticket(&self, name: &ServerName<'static>) -> Option<Tls13ClientSessionValue> {
+        self.held.take_tls13_ticket(name)
+    }
+}
+
 /// A connection to a node.
 pub struct Connection {
     sender: Sender,
@@ -145,13 +190,16 @@
     ) -> io::Result<bool> {
         let mut tls = tls(trusted, b"h3")?;
         tls.enable_early_data = true;
+        let tickets = Arc::new(Tickets::default());
+        tls.resumption = rustls::client::Resumption::store(tickets.clone());
         let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(tls).map_err(io::Error::other)?;
         let config = quinn::ClientConfig::new(Arc::new(crypto));
         let endpoint = quinn::Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let connect = || endpoint.connect_with(config.clone(), addr, NAME).map_err(io::Error::other);
         let first = connect()?.await?;
-        // The ticket comes behind the handshake.
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        // The ticket comes behind the handshake; without one there would be nothing to send early with.
+        let came = tokio::time::timeout(Duration::from_secs(10), tickets.came.notified()).await;
+        came.map_err(|_| io::Error::other("no ticket came"))?;
         first.close(quinn::VarInt::from_u32(Code::H3_NO_ERROR.value() as u32), b"");
         Ok(connect()?.into_0rtt().is_ok())
     }
--- a/crates/zookeeper/tests/common/mod.rs
+++ b/crates/zookeeper/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use woodgap_testkit::coordination::tree::{Mode, Op};
 use woodgap_testkit::coordination::wire::Coordination;
 use woodgap_zookeeper::pool::Pool;
-use woodgap_zookeeper::session::{Service, Settings};
+use woodgap_zookeeper::session::{Going, Service, Settings};
 use woodgap_zookeeper::view::{Fault, News};
 
 /// Longer than anything takes on a machine that works.
@@ -92,6 +92,14 @@
     (pool, ear)
 }
 
+/// A node that listens to `/pools/web`.
+pub fn watched(service: &Coordination) -> (Service, Going, Ear) {
+    let keeper = connect(service);
+    let (pool, ear) = listen("/pools/web");
+    let going = keeper.go(pool);
+    (keeper, going, ear)
+}
+
 pub fn ids(ear: &Ear) -> Vec<String> {
     ear.lock().unwrap().entries.keys().cloned().collect()
 }
--- a/crates/zookeeper/tests/pool.rs
+++ b/crates/zookeeper/tests/pool.rs
@@ -62,9 +62,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_service_out_of_reach_leaves_the_last_view_and_corrects_it_when_back() {
     let service = start().await;
-    let keeper = connect(&service);
-    let (pool, ear) = listen("/pools/web");
-    let _going = keeper.go(pool);
+    let (keeper, _going, ear) = watched(&service);
     let (_a, b) = (register(&service, "a", 1), register(&service, "b", 2));
     until("both", || ids(&ear) == ["a", "b"]).await;
     let mut status = keeper.status();
@@ -92,9 +90,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_event_lost_with_its_connection_is_made_up_for() {
     let service = start().await;
-    let keeper = connect(&service);
-    let (pool, ear) = listen("/pools/web");
-    let _going = keeper.go(pool);
+    let (keeper, _going, ear) = watched(&service);
     register(&service, "a", 1);
     until("a", || ids(&ear) == ["a"]).await;
     let session = keeper.status().borrow().session;
@@ -117,9 +113,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_slow_silent_or_pingless_service_is_lived_with() {
     let service = start().await;
-    let keeper = connect(&service);
-    let (pool, ear) = listen("/pools/web");
-    let _going = keeper.go(pool);
+    let (_keeper, _going, ear) = watched(&service);
     until("the empty list", || ear.lock().unwrap().fulls == 1).await;
     service.delay(Duration::from_millis(150));
     let a = register(&service, "a", 1);
@@ -191,9 +185,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_service_restarts_with_its_data_and_without() {
     let service = start().await;
-    let keeper = connect(&service);
-    let (pool, ear) = listen("/pools/web");
-    let _going = keeper.go(pool);
+    let (keeper, _going, ear) = watched(&service);
     register(&service, "a", 1);
     until("a", || ids(&ear) == ["a"]).await;
     let session = keeper.status().borrow().session;
@@ -212,9 +204,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn ten_thousand_changes_converge_on_the_last_state() {
     let service = start().await;
-    let keeper = connect(&service);
-    let (pool, ear) = listen("/pools/web");
-    let _going = keeper.go(pool);
+    let (_keeper, _going, ear) = watched(&service);
     until("the empty list", || ear.lock().unwrap().fulls == 1).await;
     let mut ticks = tokio::time::interval(Duration::from_millis(1));
     let mut sessions: std::collections::BTreeMap<u16, i64> = Default::default();
@@ -255,9 +245,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_child_that_cannot_be_read_is_left_out_alone() {
     let service = start().await;
-    let keeper = connect(&service);
-    let (pool, ear) = listen("/pools/web");
-    let _going = keeper.go(pool);
+    let (_keeper, _going, ear) = watched(&service);
     let owner = service.session();
     let put = |name: &str, data: &[u8]| {
         service.change(owner, &create(&format!("/pools/web/{name}"), data, true)).unwrap();
