Wait for the only server that is left instead of refusing after its early time-out

A safe request's first attempt is given up after 8 times its class's mean so that another server can take it; in a pool with one server left there is none, so a hiccup of a few milliseconds ended in a refusal of what was being served.

Change: the attempt has all the time that is left where no other server in use could take the next one. Retry-After is rounded up to the millisecond: 0.000 sent clients back too early (seen under load in the quota's test).

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -640,7 +640,7 @@
         let target = if self.may_send(&self.requests[&id]) { self.route(id) } else { None };
         let Some(target) = target else { return self.conclude(id, out) };
         let now = self.now;
-        let limit = self.attempt_limit(&self.requests[&id]);
+        let limit = self.attempt_limit(&self.requests[&id], target);
         let server = &mut self.servers[target];
         if server.inflight == 0 {
             server.quiet_since = now;
@@ -769,9 +769,10 @@
     }
 
     /// Time-out of the next attempt: what is left, less where a further one could follow.
-    fn attempt_limit(&self, pending: &Pending) -> Micros {
+    fn attempt_limit(&self, pending: &Pending, target: usize) -> Micros {
         let left = pending.deadline.saturating_sub(self.now).max(1);
-        let last = pending.attempts.len() + 1 >= self.settings.max_attempts as usize;
+        let last = pending.attempts.len() + 1 >= self.settings.max_attempts as usize
+            || !self.has_next(pending, target);
         // Resends inside a small cell would crowd the neighbours of a slow server.
         let semantics = self.settings.classes[pending.class].semantics;
         let narrow = matches!(semantics, Semantics::Unsafe | Semantics::Keyed { scope: KeyScope::Cell, .. });
@@ -787,6 +788,16 @@
         }
     }
 
+    /// Whether a server beside this one could take a further attempt. Where none could, an early time-out
+    /// would only refuse what is still being served.
+    fn has_next(&self, pending: &Pending, target: usize) -> bool {
+        self.servers.iter().enumerate().any(|(i, server)| {
+            let out = server.ejected.is_some() && !self.mood.panic;
+            let tried = pending.attempts.iter().any(|a| a.member.server == server.member.server);
+            i != target && server.ready && !out && !tried && self.in_group(pending, &server.member)
+        })
+    }
+
     // Outcomes.
 
     fn on_closed(&mut self, closed: Closed, out: &mut Vec<Action>) {
--- a/crates/decisions/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -461,6 +461,38 @@
     assert!(matches!(actions[..], [Action::Send { limit, .. }] if limit < SECOND / 2), "{actions:?}");
 }
 
+// Guards against refusing what is being served: in a pool whose other servers are gone, a single late answer
+// ended in a refusal, as its attempt was given up for a server that was not there.
+#[test]
+fn no_early_time_out_where_no_other_server_is_left() {
+    let mut node = Node::fleet(3);
+    for n in 0..300 {
+        let server = node.place(n, SAFE, n);
+        node.close(n, 0, server, Outcome::Ok);
+    }
+    let limit = |actions: &[Action]| match actions {
+        [Action::Send { limit, .. }] => *limit,
+        other => panic!("{other:?}"),
+    };
+    assert!(limit(&node.ask(1_000, SAFE, 5)) < SECOND / 2);
+    let gone = |n| Member { state: ServerState::Terminated, ..member(n) };
+    node.sync(SyncKind::Delta, vec![gone(0), gone(1)]);
+    assert_eq!(limit(&node.ask(1_001, SAFE, 5)), SECOND);
+    // Of two, the first attempt is given up in time for the second, which has all that is left.
+    node.sync(SyncKind::Delta, vec![member(0)]);
+    let actions = node.ask(1_002, SAFE, 5);
+    let (early, first) = (limit(&actions), sent(&actions).unwrap());
+    assert!(early < SECOND / 2);
+    node.now += early;
+    let next = node.close_after(1_002, 0, first, Outcome::Timeout, early);
+    assert!(sent(&next).is_some_and(|second| second != first));
+    let left = next.iter().find_map(|action| match action {
+        Action::Send { limit, .. } => Some(*limit),
+        _ => None,
+    });
+    assert_eq!(left, Some(SECOND - early));
+}
+
 // Guards against refusals for trouble that is known: one server that stays full cuts the limit at
 // first, and not again while its slots walk on.
 #[test]
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -300,7 +300,10 @@
         wait: Option<Duration>,
     ) -> Response<Full<Bytes>> {
         let mut response = plain(status, why);
-        let advice = wait.filter(|_| self.retry_after).map(|wait| format!("{:.3}", wait.as_secs_f64()));
+        // Upwards: who comes back before its time is refused again.
+        let millis = |wait: Duration| wait.as_micros().div_ceil(1_000);
+        let advice = wait.filter(|_| self.retry_after).map(millis);
+        let advice = advice.map(|millis| format!("{}.{:03}", millis / 1_000, millis % 1_000));
         if let Some(value) = advice.and_then(|text| HeaderValue::from_str(&text).ok()) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
--- a/crates/node/tests/hosted.rs
+++ b/crates/node/tests/hosted.rs
@@ -623,6 +623,24 @@
     }
 }
 
+// A pool with one server left: what answers late there is waited for, as nobody else could answer at all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_answer_of_the_only_server_is_waited_for() {
+    let site = site().await;
+    let server = Backend::start(AT_ONCE).await.unwrap();
+    site.admin.tenant("acme", &spec(10_000), &[server.addr]).await.unwrap();
+    let mut connection = Connection::open(site.addr).await.unwrap();
+    // Until answers are known to take little.
+    for n in 0..400 {
+        let one = Ask::lookup("acme", format!("x{n}"));
+        assert_eq!(connection.ask(&one).await.unwrap().status, 200);
+    }
+    server.does(Does::Serve(Duration::from_millis(1_500)));
+    let late = Ask::lookup("acme", "late").within(Duration::from_secs(10));
+    assert_eq!(connection.ask(&late).await.unwrap().status, 200);
+    assert_eq!(server.requests(), 401);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_quota_is_kept_and_says_when_to_come_back() {
     let site = site().await;
