--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -27,6 +27,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Milliseconds on any clock that does not run backwards.
 pub type Millis = u64;
@@ -48,18 +49,54 @@
 }
 
 /// How a server is spoken to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub enum Transport {
     /// HTTP/1.1 over TCP.
     #[default]
     Http1,
-    /// HTTP/3, at a server whose certificate is this one.
+    /// HTTP/3, at a server that proves who it is.
     Http3 {
-        /// SHA-256 of its certificate in DER.
-        pin: [u8; 32],
+        /// By what.
+        trust: Trust,
     },
 }
 
+/// How a server proves who it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Trust {
+    /// Its certificate is this one: SHA-256 of it in DER.
+    Pin([u8; 32]),
+    /// Its certificate is for this DNS name or IP address, by an authority that the node trusts (RFC 6125).
+    Name(Arc<str>),
+}
+
+/// The longest name that a certificate may be asked for: that of a DNS name (RFC 1035, section 2.3.4).
+pub const LONGEST_SERVER_NAME: usize = 253;
+
+/// How an entry says that its server proves itself.
+///
+/// # Errors
+/// The field that is wrong, and what to write.
+pub fn trust_of(
+    pin: Option<&str>,
+    server_name: Option<&str>,
+) -> Result<Option<Trust>, (&'static str, &'static str)> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || ".-:".contains(c);
+    match (pin, server_name) {
+        (None, None) => Ok(None),
+        (Some(pin), None) => {
+            let pin = pin_of(pin).ok_or(("pin", "give the certificate's SHA-256: 64 hexadecimal digits"))?;
+            Ok(Some(Trust::Pin(pin)))
+        }
+        (None, Some(name)) => {
+            let sound = (1..=LONGEST_SERVER_NAME).contains(&name.len()) && name.chars().all(fits);
+            let right = "give the DNS name or the address that its certificate is for";
+            sound.then(|| Some(Trust::Name(name.into()))).ok_or(("server_name", right))
+        }
+        (Some(_), Some(_)) => Err(("server_name", "give either it or pin, not both")),
+    }
+}
+
 /// Reads a certificate's SHA-256: 64 hexadecimal digits.
 pub fn pin_of(text: &str) -> Option<[u8; 32]> {
     let mut pin = [0; 32];
@@ -414,7 +451,7 @@
             Some(Member {
                 id: id.clone(),
                 address: entry.address,
-                transport: entry.transport,
+                transport: entry.transport.clone(),
                 zone: entry.zone.clone(),
                 cell: entry.cell,
                 size: entry.size,
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -47,7 +47,7 @@
 /// How often the connections are looked over.
 const LOOK: Duration = Duration::from_millis(100);
 /// How long a newcomer waits for the place of a connection that was closed for it.
-const HANDOVER: Duration = Duration::from_millis(5);
+pub(super) const HANDOVER: Duration = Duration::from_millis(5);
 
 /// What all client connections share.
 pub struct Clients {
--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -26,11 +26,11 @@
 use tokio::time::{timeout, Instant};
 use woodgap_tenancy::Uid;
 
-use super::clients::{plain, Clients, LONGEST_HEAD, MOST_HEADERS};
+use super::clients::{plain, Clients, HANDOVER, LONGEST_HEAD, MOST_HEADERS};
 use super::conn::{Conn, Phase, SLOW};
-use super::quic::{self, Stops};
 use super::request::Fault;
 use crate::meter::{metered, Meter};
+use crate::quic::{self, Stops};
 use crate::task::{Budget, Permit};
 use crate::upstream::exchange::LONGEST_BODY;
 
@@ -41,8 +41,13 @@
 pub const MOST_HANDSHAKES: usize = 256;
 /// How long a handshake may take.
 const HANDSHAKE: Duration = Duration::from_secs(3);
+/// How often a newcomer waits for the place of a connection that is being closed.
+const HANDOVERS: usize = 8;
 /// A connection on which nothing comes for this long is over.
 const IDLE: Duration = Duration::from_secs(30);
+/// After a GOAWAY, for so long something may come that was sent before it was heard; it is rejected then, which tells
+/// more than a connection that ends.
+const LINGER: Duration = Duration::from_millis(200);
 /// An answer that its client does not read for this long is given up on.
 const UNREAD: Duration = Duration::from_secs(5);
 /// Requests that a client may give up beyond those that it let be answered; one that goes on is cut off.
@@ -246,23 +251,27 @@
                 incoming.refuse();
                 continue;
             };
-            let Some(place) = self.place3() else {
-                incoming.refuse();
-                continue;
-            };
-            spawn_local(self.clone().serve3(incoming, handshake, place, name.clone()));
+            spawn_local(self.clone().serve3(incoming, handshake, name.clone()));
         }
     }
 
-    /// A place for one more connection: it has no descriptor of its own, but memory as others have.
-    fn place3(&self) -> Option<Permit> {
-        self.budget.take().or_else(|| {
-            self.evict();
-            self.budget.take()
-        })
+    /// A place for one more connection: it has no descriptor of its own, but memory as others have. Waits for that of
+    /// a connection which is closed for it, as long as one may be.
+    async fn place3(&self) -> Option<Permit> {
+        for _ in 0..HANDOVERS {
+            if let Some(place) = self.budget.take() {
+                return Some(place);
+            }
+            if !self.evict() && !self.conns.borrow().values().any(|conn| conn.is_abrupt()) {
+                return None;
+            }
+            let _ = timeout(HANDOVER, self.ended.notified()).await;
+        }
+        None
     }
 
-    async fn serve3(self: Rc<Self>, incoming: Incoming, handshake: Permit, place: Permit, listener: Rc<str>) {
+    async fn serve3(self: Rc<Self>, incoming: Incoming, handshake: Permit, listener: Rc<str>) {
+        let Some(place) = self.place3().await else { return incoming.refuse() };
         let Ok(connecting) = incoming.accept() else { return };
         let Ok(Ok(connection)) = timeout(HANDSHAKE, connecting).await else { return };
         drop(handshake);
@@ -312,6 +321,13 @@
                             break;
                         }
                     }
+                    // A client need not close on it. With nothing open and nothing that may be on its way the
+                    // connection is over (RFC 9114, section 5.2).
+                    () = tokio::time::sleep(LINGER), if told => {
+                        if streams.open.get() == 0 {
+                            break;
+                        }
+                    }
                 }
             }
         })
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -15,8 +15,6 @@
 pub mod http1;
 #[cfg(feature = "hosted")]
 pub mod http3;
-#[cfg(feature = "hosted")]
-pub mod quic;
 pub mod request;
 #[cfg(feature = "hosted")]
 pub mod tls;
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -148,6 +148,8 @@
     pub admin: Option<AdminConfig>,
     /// The coordination service, if there is one.
     pub zookeeper: Option<ZookeeperConfig>,
+    /// The file of the authorities that servers with HTTP/3 are trusted by, if there is one.
+    pub authorities: Option<PathBuf>,
 }
 
 /// Holds the descriptors that a node is to use against those that the system lets it have.
@@ -382,6 +384,12 @@
             }
             None => None,
         };
+        let mut authorities = None;
+        if let Some(mut section) = reader.section(top, "upstream") {
+            let file = reader.text(&mut section, "authorities", "the file of certificates to trust, PEM");
+            authorities = file.map(|file| folder.join(file));
+            reader.done(section);
+        }
         let seed = seed.unwrap_or_else(|| fastrand::u64(..));
         Some(HostedConfig {
             name,
@@ -395,6 +403,7 @@
             store: store?,
             admin,
             zookeeper,
+            authorities,
         })
     }
 
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -426,6 +426,7 @@
             report: spec.pool.report.clone(),
         };
         let servers = Servers::new(figures, self.sockets.clone(), Some(meter.clone()));
+        servers.trust(self.bounds.authorities.clone());
         let seed = self.seeds.borrow_mut().u64(..);
         let mut driver = Driver::new(&settings, seed, None, servers, None, &tx, Some(meter.clone()));
         driver.start(&servers_now);
@@ -567,7 +568,7 @@
     let entry = |member: &MemberView| Known {
         id: member.id.clone(),
         address: member.address,
-        transport: member.transport,
+        transport: member.transport.clone(),
         zone: member.zone.clone(),
         cell: member.cell,
         size: member.size,
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -44,12 +44,13 @@
 use crate::store::shared::Shared;
 use crate::store::Store;
 use crate::task::Budget;
+use crate::upstream::trust::Authorities;
 use config::{HostedConfig, Listen, Protocols, StoreConfig};
 use directory::{Standing, Tenants, View};
 use ephemeral::Paths;
 
 /// What tenants share on this node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Bounds {
     /// Nodes that share the tenants' traffic.
     pub nodes: u32,
@@ -63,6 +64,8 @@
     pub pool_idle: Duration,
     /// For random choices.
     pub seed: u64,
+    /// Whom servers with HTTP/3 that are known by name are trusted by.
+    pub authorities: Arc<Authorities>,
 }
 
 /// What the data thread is told.
@@ -182,6 +185,7 @@
         addresses.listeners.push((listen.name.clone(), door.address));
         doors.push(door);
     }
+    let authorities = config.authorities.as_deref().map(Authorities::load).transpose()?.unwrap_or_default();
     let certificates: Vec<_> = doors.iter().filter_map(|door| door.certificate.clone()).collect();
     let admin = match &config.admin {
         Some(admin) => {
@@ -202,6 +206,7 @@
         connections,
         pool_idle: config.pool_idle,
         seed: config.seed,
+        authorities: authorities.clone(),
     };
     let sockets = Sockets::new(all);
     let (drained, gone) = mpsc::unbounded_channel();
@@ -256,6 +261,9 @@
                         Err(error) => crate::log::line(format_args!("certificate kept: {error}")),
                     }
                 }
+                if let Err(error) = authorities.reload() {
+                    crate::log::line(format_args!("authorities kept: {error}"));
+                }
             }
         });
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,8 @@
 mod peers;
 pub mod platform;
 mod pool;
+#[cfg(feature = "hosted")]
+mod quic;
 mod sockets;
 mod sources;
 #[cfg(feature = "hosted")]
--- a/crates/node/src/front/quic.rs
+++ b/crates/node/src/quic.rs
@@ -1,7 +1,8 @@
-//! QUIC streams as `h3` wants them, over `quinn`, with one thing more: a client that gives its request up
-//! (STOP_SENDING, RFC 9000, section 3.5; RFC 9114, section 4.1.1) is heard of while a server still works on it.
+//! QUIC streams as `h3` wants them, over `quinn`, on both sides of the node, with two things more:
 //!
-//! `h3-quinn` keeps that to itself until something is written.
+//! - a client that gives its request up (STOP_SENDING, RFC 9000, section 3.5; RFC 9114, section 4.1.1) is heard of
+//!   while a server still works on it; `h3-quinn` keeps that to itself until something is written;
+//! - a stream that is being read may be given up; `h3-quinn` 0.0.10 panics then, as the read has the stream.
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -80,6 +81,13 @@
     uni: Option<Boxed<Result<quinn::SendStream, ConnectionError>>>,
 }
 
+/// Another one, which opens streams of its own.
+impl Clone for Open {
+    fn clone(&self) -> Self {
+        Open::new(self.conn.clone())
+    }
+}
+
 impl Open {
     fn new(conn: quinn::Connection) -> Self {
         Open { conn, bidi: None, uni: None }
--- a/crates/node/src/sources/views.rs
+++ b/crates/node/src/sources/views.rs
@@ -119,7 +119,7 @@
     Entry {
         id: listed.id.clone(),
         address: listed.addr,
-        transport: listed.transport,
+        transport: listed.transport.clone(),
         zone: listed.zone.clone(),
         cell: listed.cell,
         size: listed.size,
@@ -132,7 +132,7 @@
     Listed {
         id: member.id.clone(),
         addr: member.address,
-        transport: member.transport,
+        transport: member.transport.clone(),
         zone: member.zone.clone(),
         cell: member.cell,
         state: if member.in_service { ServerState::InService } else { ServerState::Terminating },
--- a/crates/node/src/upstream/http3.rs
+++ b/crates/node/src/upstream/http3.rs
@@ -1,14 +1,13 @@
 //! HTTP/3 to servers (RFC 9114): one connection a server, many requests on it, and what their ends prove.
 //!
-//! A stream that the server reset with `H3_REQUEST_REJECTED` never ran (section 4.1.1), and one that was never
-//! begun because the server takes nothing new (GOAWAY, section 5.2) was never sent. Every other end of a stream or
-//! of the connection may come after the request ran.
+//! A stream that the server reset with `H3_REQUEST_REJECTED` never ran (section 4.1.1), and neither did one at or above
+//! the id of a GOAWAY, nor one that was not begun because of it (section 5.2). Every other end of a stream or of the
+//! connection may come after the request ran; so may one that says it did not once an answer has begun to come.
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -18,16 +17,15 @@
 use hyper::header::{HeaderMap, CONTENT_LENGTH, HOST};
 use hyper::{Request, StatusCode};
 use quinn::VarInt;
-use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
-use rustls::crypto::CryptoProvider;
-use rustls::pki_types::{CertificateDer, ServerName, UnixTime};
-use rustls::{CertificateError, DigitallySignedStruct, SignatureScheme};
-use sha2::{Digest, Sha256};
+use tokio::sync::watch;
 use tokio::time::{timeout, Instant};
 
 use crate::sockets::Sockets;
 use crate::task::{AbortOnDrop, Permit};
+use crate::upstream::control::Tap;
 use crate::upstream::exchange::LONGEST_BODY;
+pub use crate::upstream::trust::Authorities;
+use crate::upstream::trust::Shake;
 
 /// Connections that one attempt may need: the one that ended under it, and another.
 pub const MOST_DIALS: usize = 3;
@@ -36,89 +34,21 @@
 /// An answer's body that stands still for this long will not be whole.
 const STALL: Duration = Duration::from_millis(500);
 /// Bytes that a server may send ahead, on one stream and on all of a connection.
-const STREAM_WINDOW: u32 = LONGEST_BODY as u32 + 2 * LONGEST_HEAD as u32;
-const WINDOW: u32 = 16 * STREAM_WINDOW;
+pub(super) const STREAM_WINDOW: u32 = LONGEST_BODY as u32 + 2 * LONGEST_HEAD as u32;
+pub(super) const WINDOW: u32 = 16 * STREAM_WINDOW;
 /// A connection on which nothing comes for this long is over.
-const IDLE: Duration = Duration::from_secs(30);
+pub(super) const IDLE: Duration = Duration::from_secs(30);
 
-/// Takes one certificate and no other.
-#[derive(Debug)]
-struct Pinned {
-    pin: [u8; 32],
-    provider: Arc<CryptoProvider>,
-}
-
-impl ServerCertVerifier for Pinned {
-    fn verify_server_cert(
-        &self,
-        end_entity: &CertificateDer<'_>,
-        _: &[CertificateDer<'_>],
-        _: &ServerName<'_>,
-        _: &[u8],
-        _: UnixTime,
-    ) -> Result<ServerCertVerified, rustls::Error> {
-        if Sha256::digest(end_entity.as_ref()).as_slice() == self.pin {
-            return Ok(ServerCertVerified::assertion());
-        }
-        Err(rustls::Error::InvalidCertificate(CertificateError::ApplicationVerificationFailure))
-    }
-
-    fn verify_tls12_signature(
-        &self,
-        _: &[u8],
-        _: &CertificateDer<'_>,
-        _: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        Err(rustls::Error::PeerIncompatible(rustls::PeerIncompatible::Tls12NotOffered))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        certificate: &CertificateDer<'_>,
-        signature: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        let algorithms = &self.provider.signature_verification_algorithms;
-        rustls::crypto::verify_tls13_signature(message, certificate, signature, algorithms)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.provider.signature_verification_algorithms.supported_schemes()
-    }
-}
-
-fn config(pin: [u8; 32]) -> io::Result<quinn::ClientConfig> {
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let builder = rustls::ClientConfig::builder_with_provider(provider.clone())
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(io::Error::other)?;
-    let verifier = Arc::new(Pinned { pin, provider });
-    let mut tls = builder.dangerous().with_custom_certificate_verifier(verifier).with_no_client_auth();
-    tls.alpn_protocols = vec![b"h3".to_vec()];
-    // Nothing is sent before the handshake is whole: it could be replayed (RFC 8470).
-    tls.enable_early_data = false;
-    let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(tls).map_err(io::Error::other)?;
-    let mut config = quinn::ClientConfig::new(Arc::new(crypto));
-    let mut transport = quinn::TransportConfig::default();
-    transport
-        .max_concurrent_bidi_streams(0u32.into())
-        .max_concurrent_uni_streams(4u32.into())
-        .stream_receive_window(STREAM_WINDOW.into())
-        .receive_window(WINDOW.into())
-        .datagram_receive_buffer_size(None)
-        .max_idle_timeout(IDLE.try_into().ok());
-    config.transport_config(Arc::new(transport));
-    Ok(config)
-}
-
-type Sender = SendRequest<h3_quinn::OpenStreams, Bytes>;
-type Stream = RequestStream<h3_quinn::BidiStream<Bytes>, Bytes>;
+type Sender = SendRequest<crate::quic::Open, Bytes>;
+type Stream = RequestStream<crate::quic::Both<Bytes>, Bytes>;
 
 /// A connection to a server. Closed when the last that uses it is dropped.
 pub struct Link {
     sender: Sender,
     quic: quinn::Connection,
     used: Cell<Instant>,
+    /// The least id that the server has said it does not take (GOAWAY).
+    goaway: watch::Receiver<Option<u64>>,
     /// The server's epoch when it was opened.
     pub epoch: u64,
     _driver: AbortOnDrop,
@@ -138,6 +68,8 @@
     link: RefCell<Option<Rc<Link>>>,
     /// Held by who opens it: the others wait for that.
     opening: tokio::sync::Mutex<()>,
+    /// Why none could be opened was told, and none was opened since.
+    told: Cell<bool>,
 }
 
 impl Shared {
@@ -148,7 +80,7 @@
     pub async fn link(
         &self,
         addr: SocketAddr,
-        pin: [u8; 32],
+        shake: impl FnOnce() -> io::Result<Shake>,
         epoch: u64,
         sockets: &Sockets,
     ) -> io::Result<Rc<Link>> {
@@ -161,7 +93,20 @@
             return Ok(link);
         }
         let permit = sockets.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
-        let link = Rc::new(Link::dial(addr, pin, epoch, permit).await?);
+        let dialled = match shake() {
+            Ok(shake) => Link::dial(addr, shake, epoch, permit).await,
+            Err(error) => Err(error),
+        };
+        let link = match dialled {
+            Ok(link) => Rc::new(link),
+            Err(error) => {
+                if !self.told.replace(true) {
+                    crate::log::line(format_args!("server {addr}: no HTTP/3 connection: {error}"));
+                }
+                return Err(error);
+            }
+        };
+        self.told.set(false);
         *self.link.borrow_mut() = Some(link.clone());
         Ok(link)
     }
@@ -217,24 +162,23 @@
 }
 
 impl Link {
-    async fn dial(addr: SocketAddr, pin: [u8; 32], epoch: u64, permit: Permit) -> io::Result<Link> {
+    async fn dial(addr: SocketAddr, shake: Shake, epoch: u64, permit: Permit) -> io::Result<Link> {
         let any: SocketAddr = match addr {
             SocketAddr::V4(_) => ([0u8; 4], 0).into(),
             SocketAddr::V6(_) => ([0u16; 8], 0).into(),
         };
         let endpoint = quinn::Endpoint::client(any)?;
-        let name = addr.ip().to_string();
-        let connecting = endpoint.connect_with(config(pin)?, addr, &name).map_err(io::Error::other)?;
+        let connecting = endpoint.connect_with(shake.config, addr, &shake.name).map_err(io::Error::other)?;
         let quic = connecting.await?;
         let mut builder = h3::client::builder();
         builder.max_field_section_size(LONGEST_HEAD).send_grease(false);
-        let (mut driver, sender) =
-            builder.build(h3_quinn::Connection::new(quic.clone())).await.map_err(io::Error::other)?;
+        let (tap, goaway) = Tap::new(quic.clone());
+        let (mut driver, sender) = builder.build(tap).await.map_err(io::Error::other)?;
         let driver = AbortOnDrop::spawn(async move {
             let _ = std::future::poll_fn(|cx| driver.poll_close(cx)).await;
         });
         let used = Cell::new(Instant::now());
-        Ok(Link { sender, quic, used, epoch, _driver: driver, _endpoint: endpoint, _permit: permit })
+        Ok(Link { sender, quic, used, goaway, epoch, _driver: driver, _endpoint: endpoint, _permit: permit })
     }
 
     /// Whether it has not ended.
@@ -266,11 +210,22 @@
             Err(StreamError::RemoteClosing { .. }) => return Exchange::Unsent,
             Err(_) => return Exchange::Broken,
         };
+        let id = stream.id().into_inner();
         let mut asked = Asked { stream, whole: false };
-        let whole = whole(&mut asked, body, heard).await;
+        let mut goaway = self.goaway.clone();
+        // An answer that comes all the same is one.
+        let ended = tokio::select! {
+            biased;
+            ended = whole(&mut asked, body, heard) => ended,
+            () = left_out(&mut goaway, id) => Ok(Exchange::Unsent),
+        };
         self.used.set(Instant::now());
-        match whole {
-            Ok(answer) => answer,
+        let left_out = self.goaway.borrow().is_some_and(|least| id >= least);
+        match ended {
+            Ok(Exchange::Unsent) | Err(_) if heard.get() => Exchange::Broken,
+            Ok(ended) => ended,
+            // Whatever else became of it.
+            Err(_) if left_out => Exchange::Unsent,
             Err(StreamError::RemoteTerminate { code, .. }) if code == Code::H3_REQUEST_REJECTED => {
                 Exchange::Rejected
             }
@@ -279,6 +234,14 @@
     }
 }
 
+/// Done when the server says that it does not take the stream of this id.
+async fn left_out(goaway: &mut watch::Receiver<Option<u64>>, id: u64) {
+    if goaway.wait_for(|least| least.is_some_and(|least| id >= least)).await.is_err() {
+        // The connection has ended: the stream tells of that.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Writes the body and reads the answer to its end. An answer that cannot be trusted is none.
 async fn whole(asked: &mut Asked, body: Bytes, heard: &Cell<bool>) -> Result<Exchange, StreamError> {
     let stream = &mut asked.stream;
@@ -292,6 +255,7 @@
     }
     let _ = stream.finish().await;
     let mut head = stream.recv_response().await?;
+    heard.set(true);
     // Word that an answer is to come (1xx) is none.
     for _ in 0..8 {
         if !head.status().is_informational() {
@@ -299,7 +263,6 @@
         }
         head = stream.recv_response().await?;
     }
-    heard.set(true);
     let length =
         head.headers().get(CONTENT_LENGTH).map(|value| value.to_str().ok().and_then(|t| t.parse().ok()));
     let mut body = BytesMut::new();
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -13,7 +13,7 @@
 use tokio::time::{timeout_at, Instant};
 use woodgap_decisions::settings::Zones;
 use woodgap_decisions::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
-use woodgap_membership::Transport;
+use woodgap_membership::{Transport, Trust};
 
 use crate::config::Figures;
 use crate::meter::Meter;
@@ -69,6 +69,8 @@
     names: RefCell<HashMap<u32, String>>,
     epochs: Cell<u64>,
     zones: RefCell<Zones>,
+    #[cfg(feature = "hosted")]
+    authorities: RefCell<std::sync::Arc<http3::Authorities>>,
 }
 
 impl Servers {
@@ -81,6 +83,8 @@
             names: RefCell::default(),
             epochs: Cell::new(0),
             zones: RefCell::default(),
+            #[cfg(feature = "hosted")]
+            authorities: RefCell::default(),
         });
         servers.sockets.join(&servers);
         servers
@@ -114,7 +118,7 @@
             names.insert(number, entry.id.clone());
             let known = entries.entry(server).or_insert_with(|| Entry {
                 addr: entry.addr,
-                transport: entry.transport,
+                transport: entry.transport.clone(),
                 since_ms: entry.up_since_ms,
                 epoch: self.next_epoch(),
                 idle: Vec::new(),
@@ -124,9 +128,10 @@
                 replaced: false,
             });
             // A restarted process, or one that moved, knows nothing of the old connections.
-            let now = (entry.addr, entry.transport, entry.up_since_ms);
-            if (known.addr, known.transport, known.since_ms) != now {
-                (known.addr, known.transport, known.since_ms) = now;
+            let same = known.transport == entry.transport;
+            if !same || (known.addr, known.since_ms) != (entry.addr, entry.up_since_ms) {
+                (known.addr, known.since_ms) = (entry.addr, entry.up_since_ms);
+                known.transport = entry.transport.clone();
                 known.epoch = self.next_epoch();
                 known.idle.clear();
                 #[cfg(feature = "hosted")]
@@ -245,22 +250,34 @@
         Link::dial(addr, epoch, permit, self.meter.clone()).await
     }
 
-    fn transport(&self, server: ServerId) -> Option<Transport> {
-        self.entries.borrow().get(&server).map(|entry| entry.transport)
+    /// Trusts these authorities for servers that are known by a name.
+    #[cfg(feature = "hosted")]
+    pub fn trust(&self, authorities: std::sync::Arc<http3::Authorities>) {
+        *self.authorities.borrow_mut() = authorities;
+    }
+
+    /// How a server with HTTP/3 proves who it is.
+    fn trusted(&self, server: ServerId) -> Option<Trust> {
+        match &self.entries.borrow().get(&server)?.transport {
+            Transport::Http1 => None,
+            Transport::Http3 { trust } => Some(trust.clone()),
+        }
     }
 
     // Attempts.
 
     /// As [`Servers::attempt`], on the connection that the server's requests share.
     #[cfg(feature = "hosted")]
-    async fn attempt3(&self, server: ServerId, call: &Call, until: Instant, pin: [u8; 32]) -> Ended {
+    async fn attempt3(&self, server: ServerId, call: &Call, until: Instant, trust: Trust) -> Ended {
         // A connection that ends under us, or that takes nothing new any more, is replaced: nothing was sent.
         for _ in 0..http3::MOST_DIALS {
             let Some((addr, epoch)) = self.address(server) else { break };
             let shared = self.entries.borrow().get(&server).map(|entry| entry.shared.clone());
             let Some(shared) = shared else { break };
             let connected = until.min(Instant::now() + self.figures.dial_timeout);
-            let dialled = timeout_at(connected, shared.link(addr, pin, epoch, &self.sockets)).await;
+            let authorities = self.authorities.borrow().clone();
+            let shake = || authorities.config(&trust, addr);
+            let dialled = timeout_at(connected, shared.link(addr, shake, epoch, &self.sockets)).await;
             let Ok(Ok(link)) = dialled else { break };
             // The list may have changed meanwhile.
             match self.address(server) {
@@ -297,14 +314,14 @@
 
     /// This build has no HTTP/3.
     #[cfg(not(feature = "hosted"))]
-    async fn attempt3(&self, _: ServerId, _: &Call, _: Instant, _: [u8; 32]) -> Ended {
+    async fn attempt3(&self, _: ServerId, _: &Call, _: Instant, _: Trust) -> Ended {
         Outcome::ConnectFailed.into()
     }
 
     /// Sends a request and tells how it ended. Dropped, it closes its connection.
     pub async fn attempt(&self, server: ServerId, call: &Call, until: Instant) -> Ended {
-        if let Some(Transport::Http3 { pin }) = self.transport(server) {
-            return self.attempt3(server, call, until, pin).await;
+        if let Some(trust) = self.trusted(server) {
+            return self.attempt3(server, call, until, trust).await;
         }
         loop {
             let Some((addr, epoch)) = self.address(server) else { return Outcome::ConnectFailed.into() };
--- a/crates/tenancy/src/spec.rs
+++ b/crates/tenancy/src/spec.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use utoipa::ToSchema;
-use woodgap_membership::{pin_of, Transport};
+use woodgap_membership::{trust_of, Transport};
 
 /// Characters of a tenant's name, a class's or a match, at most.
 pub const LONGEST_NAME: usize = 63;
@@ -243,6 +243,10 @@
     /// With `http3`: SHA-256 of its certificate in DER, as 64 hexadecimal digits.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pin: Option<String>,
+    /// With `http3`, in place of a pin: the DNS name or address that its certificate is for, by one of the
+    /// authorities that the nodes trust (`[upstream] authorities`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server_name: Option<String>,
     /// Its zone.
     #[serde(default)]
     pub zone: String,
@@ -405,8 +409,8 @@
 impl BackendSpec {
     /// How it is spoken to.
     pub fn transport(&self) -> Transport {
-        match (self.protocol, self.pin.as_deref().and_then(pin_of)) {
-            (Protocol::Http3, Some(pin)) => Transport::Http3 { pin },
+        match (self.protocol, trust_of(self.pin.as_deref(), self.server_name.as_deref())) {
+            (Protocol::Http3, Ok(Some(trust))) => Transport::Http3 { trust },
             _ => Transport::Http1,
         }
     }
@@ -424,13 +428,16 @@
         if !(self.size > 0.0 && self.size <= 1_000.0) {
             faults.push(FieldFault::new("size", "give a number above 0, at most 1000"));
         }
-        match (self.protocol, self.pin.as_deref()) {
-            (Protocol::Http3, pin) if pin.and_then(pin_of).is_none() => {
-                let right = "with http3, give the SHA-256 of its certificate: 64 hexadecimal digits";
+        match (self.protocol, trust_of(self.pin.as_deref(), self.server_name.as_deref())) {
+            (_, Err((field, right))) => faults.push(FieldFault::new(field, right)),
+            (Protocol::Http3, Ok(None)) => {
+                let right =
+                    "with http3, give the SHA-256 of its certificate (64 hexadecimal digits), or server_name";
                 faults.push(FieldFault::new("pin", right));
             }
-            (Protocol::Http1, Some(_)) => {
-                faults.push(FieldFault::new("pin", "only a server with http3 has one; leave it out"));
+            (Protocol::Http1, Ok(Some(_))) => {
+                let field = if self.pin.is_some() { "pin" } else { "server_name" };
+                faults.push(FieldFault::new(field, "only a server with http3 has one; leave it out"));
             }
             _ => {}
         }
@@ -444,6 +451,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use woodgap_membership::Trust;
 
     fn spec(text: &str) -> TenantSpec {
         serde_json::from_str(text).unwrap()
@@ -506,6 +514,7 @@
             address: address.parse().unwrap(),
             protocol: Protocol::Http1,
             pin: None,
+            server_name: None,
             zone: String::new(),
             cell: 0,
             size: 1.0,
@@ -519,7 +528,19 @@
         let odd = BackendSpec { protocol: Protocol::Http3, ..server("127.0.0.1:80") };
         assert_eq!(odd.faults()[0].field, "pin");
         let good = BackendSpec { pin: Some("0f".repeat(32)), ..odd };
-        assert_eq!((good.faults(), good.transport()), (vec![], Transport::Http3 { pin: [15; 32] }));
+        let trust = Trust::Pin([15; 32]);
+        assert_eq!((good.faults(), good.transport()), (vec![], Transport::Http3 { trust }));
+        let both = BackendSpec { server_name: Some("box.example".into()), ..good };
+        assert_eq!(both.faults()[0].field, "server_name");
+        let named = BackendSpec { pin: None, ..both };
+        let trust = Trust::Name("box.example".into());
+        assert_eq!((named.faults(), named.transport()), (vec![], Transport::Http3 { trust }));
+        for odd in ["", "box example", "box/x"] {
+            let odd = BackendSpec { server_name: Some(odd.into()), ..named.clone() };
+            assert_eq!(odd.faults()[0].field, "server_name");
+        }
+        let plain = BackendSpec { protocol: Protocol::Http1, ..named };
+        assert_eq!(plain.faults()[0].field, "server_name");
         let nan = BackendSpec { size: f64::NAN, ..server("127.0.0.1:80") };
         assert_eq!(nan.faults()[0].field, "size");
     }
--- a/crates/tenancy/tests/model.rs
+++ b/crates/tenancy/tests/model.rs
@@ -21,6 +21,7 @@
         address: ([127, 0, 0, 1], 1_000 + u16::from(port)).into(),
         protocol: Default::default(),
         pin: None,
+        server_name: None,
         zone: String::new(),
         cell: 0,
         size: 1.0,
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -16,6 +16,8 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinHandle;
 
+use crate::script::{self, Cut, Cutting, End, Script};
+
 /// Something new may reach a server this long after the node was told that it drains or is gone.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(550);
 
@@ -34,6 +36,19 @@
     Reject,
     /// Turns it away unseen.
     TurnAway,
+    /// Runs it and sends so many bytes of its answer, head and framing counted; then this.
+    Cut {
+        /// Bytes of the answer that go out.
+        after: usize,
+        /// What comes then.
+        end: End,
+    },
+    /// Over HTTP/3: says that it takes no request from this one on (GOAWAY), and leaves it unanswered.
+    Goaway,
+    /// Over HTTP/3: says that it takes this request and none after it, and answers it 50 ms later.
+    GoawayAfter,
+    /// Runs it on its head alone: over HTTP/3 nothing of its body is read, as long as this stands.
+    Unread,
 }
 
 /// A request as it came.
@@ -74,12 +89,68 @@
     book: Mutex<Book>,
 }
 
+/// What a request says of itself.
+struct Named {
+    txn: String,
+    class: String,
+    target: String,
+    /// Safe requests and those whose repeats are dropped may run again.
+    once: bool,
+}
+
+impl Named {
+    fn of<B>(request: &Request<B>) -> Named {
+        let text = |name: &str| {
+            let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or("").to_owned()
+        };
+        Named {
+            txn: text("x-txn"),
+            class: text("x-lane"),
+            target: request.uri().to_string(),
+            once: request.method() == Method::POST && !request.headers().contains_key("idempotency-key"),
+        }
+    }
+}
+
+impl Shared {
+    fn does(&self) -> Does {
+        *self.does.borrow()
+    }
+
+    /// Waits until it is told to do something else.
+    async fn changed(&self, from: Does) -> Does {
+        let mut changes = self.does.subscribe();
+        // The state outlives its requests.
+        let changed = changes.wait_for(|does| *does != from).await.map(|does| *does);
+        changed.unwrap_or(Does::Reset)
+    }
+
+    /// Writes a request into the book.
+    fn note(&self, named: &Named, at: Instant, ran: bool, connection: u64) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+        if book.told_gone.is_some_and(|told| at > told + DRAIN_GRACE) {
+            self.late.fetch_add(1, Ordering::Relaxed);
+        }
+        if ran && named.once {
+            *book.ran.entry(named.txn.clone()).or_default() += 1;
+        }
+        if self.keep {
+            let (txn, class, target) = (named.txn.clone(), named.class.clone(), named.target.clone());
+            book.seen.push(Seen { at, txn, class, target, ran, connection });
+        }
+    }
+}
+
 /// A server on a loopback port, until it is dropped.
 pub struct Backend {
     /// Where it listens.
     pub addr: SocketAddr,
     /// SHA-256 of its certificate, where it speaks HTTP/3.
     pub pin: Option<String>,
+    /// Its certificate, for [`crate::http3::NAME`], where it speaks HTTP/3.
+    pub certificate: Option<rustls::pki_types::CertificateDer<'static>>,
     shared: Arc<Shared>,
     task: JoinHandle<()>,
 }
@@ -95,11 +166,13 @@
     pub remember: bool,
     /// Whether it speaks HTTP/3 in place of HTTP/1.1.
     pub http3: bool,
+    /// Over HTTP/3: bytes that may come ahead on a stream; the library's own measure where it is absent.
+    pub window: Option<u32>,
 }
 
 impl Default for Make {
     fn default() -> Self {
-        Make { cores: 64, queue: 1_024, remember: true, http3: false }
+        Make { cores: 64, queue: 1_024, remember: true, http3: false, window: None }
     }
 }
 
@@ -129,10 +202,11 @@
             book: Mutex::default(),
         });
         if make.http3 {
-            let (endpoint, pin) = crate::http3::server()?;
+            let (endpoint, der) = crate::http3::server(make.window)?;
             let addr = endpoint.local_addr()?;
             let task = tokio::spawn(serve3(endpoint, shared.clone()));
-            return Ok(Backend { addr, pin: Some(pin), shared, task });
+            let pin = Some(crate::http3::pin(&der));
+            return Ok(Backend { addr, pin, certificate: Some(der), shared, task });
         }
         let state = shared.clone();
         let task = tokio::spawn(async move {
@@ -146,8 +220,18 @@
                         state.connections.fetch_add(1, Ordering::Relaxed);
                         let state = state.clone();
                         connections.spawn(async move {
-                            let served = state.clone();
-                            let service = service_fn(move |request| answer(served.clone(), request, number));
+                            let (served, cut) = (state.clone(), Arc::new(Cut::default()));
+                            let stream = Cutting::new(stream, cut.clone());
+                            let service = service_fn(move |request| {
+                                let (served, cut) = (served.clone(), cut.clone());
+                                async move {
+                                    let answered = answer(served.clone(), request, number).await;
+                                    if let Does::Cut { after, end } = served.does() {
+                                        cut.arm(after, end);
+                                    }
+                                    answered
+                                }
+                            });
                             // A reset ends it by an error, which is what is wanted.
                             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
                             state.connections.fetch_sub(1, Ordering::Relaxed);
@@ -157,7 +241,7 @@
                 }
             }
         });
-        Ok(Backend { addr, pin: None, shared, task })
+        Ok(Backend { addr, pin: None, certificate: None, shared, task })
     }
 
     fn book<T>(&self, look: impl FnOnce(&mut Book) -> T) -> T {
@@ -278,30 +362,51 @@
 
 async fn connection3(incoming: quinn::Incoming, state: Arc<Shared>, number: u64) -> std::io::Result<()> {
     let quic = incoming.await?;
-    let connection = h3::server::Connection::new(h3_quinn::Connection::new(quic)).await;
+    let (scripted, script) = script::Connection::new(quic);
+    let connection = h3::server::Connection::new(scripted).await;
     let mut connection = connection.map_err(std::io::Error::other)?;
     let mut requests = tokio::task::JoinSet::new();
     while let Some(resolver) = connection.accept().await.map_err(std::io::Error::other)? {
-        let state = state.clone();
-        requests.spawn(async move { drop(request3(resolver, state, number).await) });
+        let (state, script) = (state.clone(), script.clone());
+        requests.spawn(async move { drop(request3(resolver, state, number, script).await) });
         while requests.try_join_next().is_some() {}
     }
     Ok(())
 }
 
 async fn request3(
-    resolver: h3::server::RequestResolver<h3_quinn::Connection, Bytes>,
+    resolver: h3::server::RequestResolver<script::Connection, Bytes>,
     state: Arc<Shared>,
     number: u64,
+    script: Script,
 ) -> Result<(), h3::error::StreamError> {
     use bytes::Buf;
     use h3::error::Code;
     let (request, mut stream) = resolver.resolve_request().await?;
+    let cut = script.cut(stream.id());
+    match state.does() {
+        Does::Goaway => {
+            state.note(&Named::of(&request), Instant::now(), false, number);
+            let _ = script.goaway(stream.id().into_inner()).await;
+            return std::future::pending().await;
+        }
+        Does::GoawayAfter => drop(script.goaway(stream.id().into_inner() + 4).await),
+        Does::Unread => {
+            state.note(&Named::of(&request), Instant::now(), true, number);
+            state.changed(Does::Unread).await;
+            return Ok(());
+        }
+        _ => {}
+    }
     let mut body = Vec::new();
     while let Some(mut data) = stream.recv_data().await? {
         body.extend_from_slice(&data.copy_to_bytes(data.remaining()));
     }
-    let rejects = *state.does.borrow() == Does::Reject;
+    let does = state.does();
+    if let (Does::Cut { after, end }, Some(cut)) = (does, cut) {
+        cut.arm(after, end);
+    }
+    let rejects = does == Does::Reject;
     let answered = answer(state, request.map(|()| Full::new(Bytes::from(body))), number).await;
     let response = match answered {
         Ok(response) if !rejects => response,
@@ -328,44 +433,21 @@
 where
     B: hyper::body::Body<Data = Bytes>,
 {
-    let text = |name: &str| {
-        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or("").to_owned()
-    };
-    let (txn, class) = (text("x-txn"), text("x-lane"));
-    let target = request.uri().to_string();
-    // Safe requests and those whose repeats are dropped may run again.
-    let once = request.method() == Method::POST && !request.headers().contains_key("idempotency-key");
+    let named = Named::of(&request);
     if request.uri().path().starts_with("/-/") {
         return Ok(reply(200, false, ""));
     }
     request.into_body().collect().await.map_err(|_| Break)?;
     let at = Instant::now();
-    state.requests.fetch_add(1, Ordering::Relaxed);
-    let mut does = *state.does.borrow();
-    let note = |ran: bool| {
-        let mut book = state.book.lock().unwrap_or_else(PoisonError::into_inner);
-        if book.told_gone.is_some_and(|told| at > told + DRAIN_GRACE) {
-            state.late.fetch_add(1, Ordering::Relaxed);
-        }
-        if ran && once {
-            *book.ran.entry(txn.clone()).or_default() += 1;
-        }
-        if state.keep {
-            let (txn, class, target) = (txn.clone(), class.clone(), target.clone());
-            let seen = Seen { at, txn, class, target, ran, connection };
-            book.seen.push(seen);
-        }
-    };
+    let mut does = state.does();
+    let note = |ran: bool| state.note(&named, at, ran, connection);
     if matches!(does, Does::TurnAway | Does::Reject) || state.waiting.load(Ordering::Relaxed) >= state.queue {
         note(false);
         return Ok(reply(503, true, ""));
     }
     note(true);
     if does == Does::Hold {
-        let mut changes = state.does.subscribe();
-        // The state outlives its requests.
-        does = changes.wait_for(|does| *does != Does::Hold).await.map(|does| *does).map_err(|_| Break)?;
+        does = state.changed(Does::Hold).await;
     }
     match does {
         Does::Serve(work) => {
@@ -376,10 +458,15 @@
                 drop(waits);
                 tokio::time::sleep(work).await;
             }
-            Ok(reply(200, false, txn))
+            Ok(reply(200, false, named.txn))
+        }
+        Does::Cut { .. } => Ok(reply(200, false, named.txn)),
+        Does::GoawayAfter => {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            Ok(reply(200, false, named.txn))
         }
         Does::Error => Ok(reply(500, false, "")),
         Does::TurnAway | Does::Reject => Ok(reply(503, true, "")),
-        Does::Reset | Does::Hold => Err(Break),
+        Does::Reset | Does::Hold | Does::Goaway | Does::Unread => Err(Break),
     }
 }
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -94,9 +94,68 @@
     }
 }
 
+/// A body whose second part comes when it is told to.
+pub struct Later {
+    first: Option<Bytes>,
+    second: tokio::sync::oneshot::Receiver<Bytes>,
+    length: u64,
+    done: bool,
+}
+
+/// The second part of a body, and what sends it.
+pub struct Rest(tokio::sync::oneshot::Sender<Bytes>, Bytes);
+
+impl Rest {
+    /// Sends it.
+    pub fn send(self) {
+        let _ = self.0.send(self.1);
+    }
+}
+
+impl Later {
+    /// A body of two parts.
+    pub fn new(first: &'static [u8], second: &'static [u8]) -> (Later, Rest) {
+        let (tx, rx) = tokio::sync::oneshot::channel();
+        let length = (first.len() + second.len()) as u64;
+        let later = Later { first: Some(Bytes::from_static(first)), second: rx, length, done: false };
+        (later, Rest(tx, Bytes::from_static(second)))
+    }
+}
+
+impl hyper::body::Body for Later {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<io::Result<hyper::body::Frame<Bytes>>>> {
+        use std::task::Poll;
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(hyper::body::Frame::data(first))));
+        }
+        if self.done {
+            return Poll::Ready(None);
+        }
+        let second = std::task::ready!(std::future::Future::poll(std::pin::Pin::new(&mut self.second), cx));
+        self.done = true;
+        let second = second.map_err(|_| io::Error::from(io::ErrorKind::UnexpectedEof));
+        Poll::Ready(Some(second.map(hyper::body::Frame::data)))
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        hyper::body::SizeHint::with_exact(self.length)
+    }
+}
+
+type AnyBody = http_body_util::combinators::BoxBody<Bytes, io::Error>;
+
+/// An answer that is to come.
+pub type Pending = tokio::task::JoinHandle<io::Result<Answer>>;
+
 /// A connection to a node.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<AnyBody>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -155,15 +214,31 @@
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> io::Result<Answer> {
         let sent = Instant::now();
         self.sender.ready().await.map_err(|_| io::ErrorKind::WouldBlock)?;
+        let request = request.map(|body| body.map_err(|never| match never {}).boxed());
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(error) if error.message().is_some() => return Err(io::ErrorKind::WouldBlock.into()),
             Err(error) => return Err(io::Error::other(error.into_error())),
         };
-        let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-        Ok(Answer { status: head.status, headers: head.headers, body, spent: sent.elapsed() })
+        whole(response, sent).await
     }
+
+    /// Sends a request whose body comes later; the answer is waited for beside it.
+    ///
+    /// # Errors
+    /// As the connection ends.
+    pub async fn later(&mut self, request: Request<Later>) -> io::Result<Pending> {
+        let sent = Instant::now();
+        self.sender.ready().await.map_err(|_| io::ErrorKind::WouldBlock)?;
+        let response = self.sender.send_request(request.map(BodyExt::boxed));
+        Ok(tokio::spawn(async move { whole(response.await.map_err(io::Error::other)?, sent).await }))
+    }
+}
+
+async fn whole(response: hyper::Response<hyper::body::Incoming>, sent: Instant) -> io::Result<Answer> {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    Ok(Answer { status: head.status, headers: head.headers, body, spent: sent.elapsed() })
 }
 
 /// Asks on a connection of its own.
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -97,6 +97,7 @@
             store: StoreConfig::File(folder.path().join("catalogue.redb")),
             admin: Some(AdminConfig { listen: any, token_file, connections: 32 }),
             zookeeper: None,
+            authorities: None,
         };
         change(&mut config);
         let store = store(&config);
--- a/crates/testkit/src/http3.rs
+++ b/crates/testkit/src/http3.rs
@@ -42,17 +42,20 @@
     Ok(Certificate { chain, key, der: made.cert.der().clone() })
 }
 
-/// An endpoint of a server with a certificate of its own, and the SHA-256 of that as hexadecimal digits.
+/// The SHA-256 of a certificate as hexadecimal digits.
+pub fn pin(der: &CertificateDer<'_>) -> String {
+    use sha2::Digest;
+    sha2::Sha256::digest(der.as_ref()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// An endpoint of a server with a certificate of its own, for [`NAME`]. `window` bytes may come ahead on a stream.
 ///
 /// # Errors
 /// Where no port can be had.
-pub fn server() -> io::Result<(quinn::Endpoint, String)> {
-    use sha2::Digest;
+pub fn server(window: Option<u32>) -> io::Result<(quinn::Endpoint, CertificateDer<'static>)> {
     let made = rcgen::generate_simple_self_signed(vec![NAME.to_owned()]).map_err(io::Error::other)?;
     let key = rustls::pki_types::PrivateKeyDer::try_from(made.signing_key.serialize_der());
     let key = key.map_err(io::Error::other)?;
-    let pin = sha2::Sha256::digest(made.cert.der().as_ref());
-    let pin = pin.iter().map(|byte| format!("{byte:02x}")).collect();
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let builder = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])
@@ -61,8 +64,14 @@
     let mut tls = tls.map_err(io::Error::other)?;
     tls.alpn_protocols = vec![b"h3".to_vec()];
     let crypto = quinn::crypto::rustls::QuicServerConfig::try_from(tls).map_err(io::Error::other)?;
-    let config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
-    Ok((quinn::Endpoint::server(config, SocketAddr::from(([127, 0, 0, 1], 0)))?, pin))
+    let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
+    if let Some(window) = window {
+        let mut transport = quinn::TransportConfig::default();
+        transport.stream_receive_window(window.into());
+        config.transport_config(Arc::new(transport));
+    }
+    let endpoint = quinn::Endpoint::server(config, SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    Ok((endpoint, made.cert.der().clone()))
 }
 
 /// What a client trusts.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,4 +16,7 @@
 pub mod hosted;
 pub mod http3;
 pub mod load;
+pub mod outcomes;
 pub mod relay;
+pub mod script;
+pub mod way;
--- /dev/null
+++ b/crates/testkit/src/way.rs
@@ -0,0 +1,275 @@
+//! One source for tests over both protocols: a [`Way`] is what clients speak to the node and the node to servers.
+//!
+//! Use it where a promise has nothing to do with a protocol. What belongs to one (bytes, streams, datagrams) is tested
+//! where that is.
+
+use std::io;
+use std::net::SocketAddr;
+
+use hyper::Request;
+use rustls::pki_types::CertificateDer;
+use serde_json::{json, Value};
+use tempfile::TempDir;
+use woodgap::hosted::config::{HostedConfig, Protocols};
+
+use crate::admin::{If, Reply};
+use crate::backend::{Backend, Does, Make};
+use crate::client::{self, Answer, Ask};
+use crate::hosted::Site;
+use crate::http3::{self, certificate, Certificate};
+
+/// What is spoken on both sides of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    /// Clients speak HTTP/3, else HTTP/1.1.
+    pub from3: bool,
+    /// Servers speak HTTP/3, else HTTP/1.1.
+    pub to3: bool,
+}
+
+impl Way {
+    /// All four; the first is HTTP/1.1 throughout.
+    pub const ALL: [Way; 4] = [
+        Way { from3: false, to3: false },
+        Way { from3: false, to3: true },
+        Way { from3: true, to3: false },
+        Way { from3: true, to3: true },
+    ];
+
+    /// Its name: what clients speak, and what servers do.
+    pub fn name(self) -> &'static str {
+        match (self.from3, self.to3) {
+            (false, false) => "h1-h1",
+            (false, true) => "h1-h3",
+            (true, false) => "h3-h1",
+            (true, true) => "h3-h3",
+        }
+    }
+
+    /// A server.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn server(self, does: Does) -> io::Result<Backend> {
+        Backend::make(does, Make { http3: self.to3, ..Make::default() }).await
+    }
+}
+
+/// The document of a server that has been warm for long.
+pub fn document(server: &Backend) -> Value {
+    let mut document = json!({"address": server.addr, "started_ms": 0});
+    if let Some(pin) = &server.pin {
+        document["protocol"] = json!("http3");
+        document["pin"] = json!(pin);
+    }
+    document
+}
+
+/// Where clients ask, and how.
+#[derive(Clone, Debug)]
+pub struct Door {
+    /// The node.
+    pub addr: SocketAddr,
+    /// What is trusted, where HTTP/3 is spoken there; else HTTP/1.1 without TLS.
+    pub trusted: Option<CertificateDer<'static>>,
+}
+
+impl Door {
+    /// Connects.
+    ///
+    /// # Errors
+    /// As connecting does.
+    pub async fn connect(&self) -> io::Result<Client> {
+        match &self.trusted {
+            Some(der) => {
+                http3::Connection::open(self.addr, std::slice::from_ref(der)).await.map(Client::Http3)
+            }
+            None => client::Connection::open(self.addr).await.map(Client::Http1),
+        }
+    }
+
+    /// Asks on a connection of its own.
+    ///
+    /// # Errors
+    /// As connecting and asking do.
+    pub async fn ask(&self, ask: &Ask) -> io::Result<Answer> {
+        self.connect().await?.ask(ask).await
+    }
+}
+
+/// A client's connection.
+pub enum Client {
+    /// HTTP/1.1.
+    Http1(client::Connection),
+    /// HTTP/3.
+    Http3(http3::Connection),
+}
+
+impl Client {
+    /// Asks and waits for the whole answer.
+    ///
+    /// # Errors
+    /// As the connection does.
+    pub async fn ask(&mut self, ask: &Ask) -> io::Result<Answer> {
+        match self {
+            Client::Http1(connection) => connection.ask(ask).await,
+            Client::Http3(connection) => connection.ask(ask).await,
+        }
+    }
+
+    /// Whether it can carry another request.
+    pub fn is_open(&self) -> bool {
+        match self {
+            Client::Http1(connection) => connection.is_open(),
+            Client::Http3(connection) => connection.is_open(),
+        }
+    }
+
+    /// Begins a request whose body comes later: `left` gives the rest of it.
+    ///
+    /// # Errors
+    /// As the connection ends.
+    pub async fn begin(&mut self, ask: &Ask) -> io::Result<Begun> {
+        match self {
+            Client::Http1(connection) => {
+                let (body, rest) = client::Later::new(b"he", b"llo");
+                let (mut parts, _) = http3::request(ask)?.0.into_parts();
+                parts.uri = format!("/api?key={}", ask.key).parse().map_err(io::Error::other)?;
+                let host = hyper::header::HeaderValue::from_str(&ask.host).map_err(io::Error::other)?;
+                parts.headers.insert("host", host);
+                let answer = connection.later(Request::from_parts(parts, body)).await?;
+                Ok(Begun::Http1(rest, answer))
+            }
+            Client::Http3(connection) => {
+                let (request, _) = http3::request(ask)?;
+                let mut stream = connection.begin(request).await?;
+                stream.send_data(bytes::Bytes::from_static(b"he")).await.map_err(io::Error::other)?;
+                Ok(Begun::Http3(Box::new(stream)))
+            }
+        }
+    }
+}
+
+/// A request whose body is not whole.
+pub enum Begun {
+    /// Over HTTP/1.1.
+    Http1(client::Rest, client::Pending),
+    /// Over HTTP/3.
+    Http3(Box<http3::Stream>),
+}
+
+impl Begun {
+    /// Sends what is left and reads the answer.
+    ///
+    /// # Errors
+    /// As the connection or the stream ends.
+    pub async fn finish(self) -> io::Result<Answer> {
+        match self {
+            Begun::Http1(rest, answer) => {
+                rest.send();
+                answer.await.map_err(io::Error::other)?
+            }
+            Begun::Http3(mut stream) => {
+                let sent = std::time::Instant::now();
+                // A node that answers before it has read all says that it wants no more.
+                let _ = stream.send_data(bytes::Bytes::from_static(b"llo")).await;
+                let _ = stream.finish().await;
+                http3::answer(&mut stream, sent).await
+            }
+        }
+    }
+}
+
+/// A hosted node, and servers and clients that come one way.
+pub struct Place {
+    /// The node.
+    pub site: Site,
+    /// What is spoken.
+    pub way: Way,
+    /// Its certificate.
+    pub certificate: Certificate,
+    _folder: TempDir,
+}
+
+impl Place {
+    /// A node that speaks HTTP/3, and HTTP/1.1 over TLS, at its first listener, and HTTP/1.1 without TLS at one
+    /// named `plain`.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub async fn start(way: Way) -> io::Result<Place> {
+        Place::configured(way, |_| {}).await
+    }
+
+    /// A node with its configuration changed.
+    ///
+    /// # Errors
+    /// Why it does not start.
+    pub async fn configured(
+        way: Way,
+        change: impl FnOnce(&mut HostedConfig) + Send + 'static,
+    ) -> io::Result<Place> {
+        let folder = tempfile::tempdir()?;
+        let certificate = certificate(folder.path())?;
+        let tls = (certificate.chain.clone(), certificate.key.clone());
+        let all = move |config: &mut HostedConfig| {
+            config.listen[0].protocols = Protocols { http1: true, http3: true };
+            config.listen[0].tls = Some(tls);
+            config.listen.push(crate::hosted::listener("plain"));
+            change(config);
+        };
+        let start = move || Site::configured(all).map_err(io::Error::other);
+        let site = tokio::task::spawn_blocking(start).await.map_err(io::Error::other)??;
+        Ok(Place { site, way, certificate, _folder: folder })
+    }
+
+    /// Where its clients ask.
+    ///
+    /// # Panics
+    /// Where the listener `plain` was taken away.
+    pub fn door(&self) -> Door {
+        if self.way.from3 {
+            return Door { addr: self.site.addr, trusted: Some(self.certificate.der.clone()) };
+        }
+        Door { addr: self.site.listener("plain").expect("the listener 'plain'"), trusted: None }
+    }
+
+    /// Asks on a connection of its own.
+    ///
+    /// # Errors
+    /// As [`Door::ask`].
+    pub async fn ask(&self, ask: &Ask) -> io::Result<Answer> {
+        self.door().ask(ask).await
+    }
+
+    /// A server.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn server(&self, does: Does) -> io::Result<Backend> {
+        self.way.server(does).await
+    }
+
+    /// Adds a server to a tenant.
+    ///
+    /// # Errors
+    /// As the connection ends.
+    pub async fn add(&self, tenant: &str, id: &str, server: &Backend) -> io::Result<Reply> {
+        self.site.admin.put(&format!("tenants/{tenant}/backends/{id}"), If::Absent, &document(server)).await
+    }
+
+    /// Makes a tenant with servers that have been warm for long, `s0` and on.
+    ///
+    /// # Errors
+    /// Where it is refused.
+    pub async fn tenant(&self, name: &str, spec: &Value, servers: &[&Backend]) -> io::Result<()> {
+        self.site.admin.tenant(name, spec, &[]).await?;
+        for (n, server) in servers.iter().enumerate() {
+            let made = self.add(name, &format!("s{n}"), server).await?;
+            if made.status != 201 {
+                return Err(io::Error::other(format!("{made:?}")));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/zookeeper/src/server.rs
+++ b/crates/zookeeper/src/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use woodgap_membership::{pin_of, Entry, Transport};
+use woodgap_membership::{trust_of, Entry, Transport};
 
 /// Bytes of a node's data that are read, at most.
 pub const LONGEST_DATA: usize = 4_096;
@@ -50,6 +50,9 @@
     /// With HTTP/3: SHA-256 of its certificate in DER, as 64 hexadecimal digits.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pin: Option<String>,
+    /// With HTTP/3, in place of a pin: the DNS name or address that its certificate is for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server_name: Option<String>,
     /// Its zone.
     #[serde(default)]
     pub zone: String,
@@ -100,12 +103,18 @@
     if server.address.port() == 0 || server.address.ip().is_unspecified() {
         return Err("address: give one that can be connected to".to_owned());
     }
-    let transport = match (server.protocol, server.pin.as_deref().map(pin_of)) {
+    let trust = trust_of(server.pin.as_deref(), server.server_name.as_deref());
+    let trust = trust.map_err(|(field, right)| format!("{field}: {right}"))?;
+    let transport = match (server.protocol, trust) {
         (Protocol::Http1, None) => Transport::Http1,
-        (Protocol::Http3, Some(Some(pin))) => Transport::Http3 { pin },
-        (Protocol::Http1, Some(_)) => return Err("pin: only with \"protocol\": \"http3\"".to_owned()),
-        (Protocol::Http3, _) => {
-            return Err("pin: give the certificate's SHA-256, 64 hexadecimal digits".to_owned())
+        (Protocol::Http3, Some(trust)) => Transport::Http3 { trust },
+        (Protocol::Http1, Some(_)) => {
+            return Err("pin, server_name: only with \"protocol\": \"http3\"".to_owned())
+        }
+        (Protocol::Http3, None) => {
+            return Err(
+                "pin: give the certificate's SHA-256, 64 hexadecimal digits, or server_name".to_owned()
+            )
         }
     };
     Ok(Entry {
@@ -149,6 +158,8 @@
             (r#"{"address": "10.0.0.1:80", "protocol": "http3"}"#, "pin"),
             (r#"{"address": "10.0.0.1:80", "protocol": "http3", "pin": "ab"}"#, "pin"),
             (r#"{"address": "10.0.0.1:80", "protocol": "http2"}"#, "http2"),
+            (r#"{"address": "10.0.0.1:80", "server_name": "box"}"#, "server_name"),
+            (r#"{"address": "10.0.0.1:80", "protocol": "http3", "server_name": "a b"}"#, "server_name"),
         ] {
             let error = read("s", bad.as_bytes()).unwrap_err();
             assert!(error.contains(why), "{bad}: {error}");
