Script HTTP/3 faults by the byte; prove GOAWAY ids, authorities and rejections by tests

Change: the stand-in server cuts an answer at a byte and resets, closes, stalls or holds; sends a GOAWAY that spares or leaves out a request; reads no body. A client's request is cut at every byte. Tests for GOAWAY ids both ways, names and authorities (changed in service), a server without room for a body, a rejection after the answer began.

--- a/crates/node/src/upstream/http3.rs
+++ b/crates/node/src/upstream/http3.rs
@@ -282,3 +282,43 @@
     let (head, ()) = head.into_parts();
     Ok(Exchange::Answer { status: head.status, headers: head.headers, body: body.freeze() })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::Ipv4Addr;
+    use woodgap_membership::{pin_of, Trust};
+    use woodgap_testkit::backend::{Backend, Does, Make};
+    use woodgap_testkit::script::End;
+
+    use crate::task::Budget;
+
+    // Once an answer has begun, word that the request was not looked at (H3_REQUEST_REJECTED) proves nothing.
+    #[tokio::test]
+    async fn a_rejection_after_the_answer_began_proves_nothing() {
+        let run = async {
+            let rejected = Code::H3_REQUEST_REJECTED.value();
+            let make = Make { http3: true, ..Make::default() };
+            // Past the head, which is some 70 bytes, and within the body.
+            let does = Does::Cut { after: 120, end: End::Held(rejected) };
+            let backend = Backend::make(does, make).await.unwrap();
+            let trust = Trust::Pin(pin_of(backend.pin.as_deref().unwrap()).unwrap());
+            let shake = Authorities::default().config(&trust, backend.addr).unwrap();
+            let permit = Budget::new(1).take().unwrap();
+            let link = Link::dial((Ipv4Addr::LOCALHOST, backend.addr.port()).into(), shake, 1, permit);
+            let link = link.await.unwrap();
+            let request = Request::builder().method("POST").uri("/api").header("x-txn", "x".repeat(200));
+            let request = request.body(Full::new(Bytes::from_static(b"hello"))).unwrap();
+            let heard = Cell::new(false);
+            let tells = async {
+                while !heard.get() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                backend.does(Does::Error);
+            };
+            let (ended, ()) = tokio::join!(link.exchange(request, &heard), tells);
+            assert!(matches!(ended, Exchange::Broken));
+        };
+        tokio::task::LocalSet::new().run_until(run).await;
+    }
+}
--- a/crates/node/tests/http3.rs
+++ b/crates/node/tests/http3.rs
@@ -1,4 +1,5 @@
-//! The hosted node over HTTP/3 and HTTP/1.1 over TLS.
+//! The hosted node over HTTP/3 and HTTP/1.1 over TLS: what belongs to the protocols. What holds whatever is spoken is in
+//! `suite.rs`.
 
 use std::future::Future;
 use std::time::{Duration, Instant};
@@ -6,42 +7,26 @@
 use bytes::Bytes;
 use hyper::Request;
 use serde_json::json;
-use woodgap::hosted::config::{HostedConfig, Protocols};
-use woodgap_testkit::admin::{spec, If, Reply};
+use woodgap_testkit::admin::{spec, If};
 use woodgap_testkit::backend::{second_effects, Backend, Does, Make};
 use woodgap_testkit::client::{self, Ask};
-use woodgap_testkit::hosted::Site;
-use woodgap_testkit::http3::{self, certificate, tls_http1, Certificate, Connection};
+use woodgap_testkit::http3::{self, certificate, tls_http1, Connection};
+use woodgap_testkit::outcomes;
 use woodgap_testkit::relay::{Ails, Relay};
+use woodgap_testkit::way::{Place, Way};
 
 /// Longer than anything takes on a machine that works.
 const PATIENCE: Duration = Duration::from_secs(30);
 const AT_ONCE: Does = Does::Serve(Duration::ZERO);
 
-struct Place {
-    site: Site,
-    certificate: Certificate,
-    _folder: tempfile::TempDir,
-}
-
-impl Place {
-    async fn connect(&self) -> Connection {
-        let connecting = Connection::open(self.site.addr, std::slice::from_ref(&self.certificate.der));
-        tokio::time::timeout(PATIENCE, connecting).await.unwrap().unwrap()
-    }
-}
-
 /// A node that speaks both, over TLS.
 async fn place() -> Place {
-    let folder = tempfile::tempdir().unwrap();
-    let certificate = certificate(folder.path()).unwrap();
-    let tls = (certificate.chain.clone(), certificate.key.clone());
-    let change = move |config: &mut HostedConfig| {
-        config.listen[0].protocols = Protocols { http1: true, http3: true };
-        config.listen[0].tls = Some(tls);
-    };
-    let site = tokio::task::spawn_blocking(|| Site::configured(change).unwrap()).await.unwrap();
-    Place { site, certificate, _folder: folder }
+    Place::start(Way { from3: true, to3: true }).await.unwrap()
+}
+
+async fn connect(place: &Place) -> Connection {
+    let connecting = Connection::open(place.site.addr, std::slice::from_ref(&place.certificate.der));
+    tokio::time::timeout(PATIENCE, connecting).await.unwrap().unwrap()
 }
 
 /// Waits for a condition.
@@ -64,7 +49,7 @@
     let answer = tcp.ask(&Ask::lookup("acme", "t1")).await.unwrap();
     let also = format!("h3=\":{}\"; ma=3600", place.site.addr.port());
     assert_eq!((answer.status.as_u16(), answer.headers["alt-svc"].to_str().unwrap()), (200, also.as_str()));
-    let quic = place.connect().await;
+    let quic = connect(&place).await;
     for (n, one) in [Ask::lookup("acme", "q1"), Ask::renew("acme", "q2")].iter().enumerate() {
         let answer = quic.ask(one).await.unwrap();
         assert_eq!((answer.status.as_u16(), answer.body.as_ref()), (200, one.txn.as_bytes()), "{n}");
@@ -92,7 +77,7 @@
     let backend = Backend::start(AT_ONCE).await.unwrap();
     place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
     let tls = tls_http1(std::slice::from_ref(&place.certificate.der)).unwrap();
-    let quic = place.connect().await;
+    let quic = connect(&place).await;
     let whole = Ask::lookup("acme", "t");
     for odd in [
         Ask { txn: String::new(), ..whole.clone() },
@@ -117,7 +102,7 @@
     let place = place().await;
     let backend = Backend::start(AT_ONCE).await.unwrap();
     place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
-    let quic = place.connect().await;
+    let quic = connect(&place).await;
     let renew = |fields: &[(&'static str, &'static str)]| {
         let (request, _) = http3::request(&Ask::renew("acme", "odd")).unwrap();
         let (mut parts, ()) = request.into_parts();
@@ -161,7 +146,7 @@
     let place = place().await;
     let backend = Backend::start(Does::Serve(Duration::from_millis(60))).await.unwrap();
     place.site.admin.tenant("acme", &spec(4_000), &[backend.addr]).await.unwrap();
-    let quic = std::sync::Arc::new(place.connect().await);
+    let quic = std::sync::Arc::new(connect(&place).await);
     for n in 0..8 {
         let one = Ask::renew("acme", format!("r{n}")).within(Duration::from_secs(4));
         let (asks, seen) = (quic.clone(), backend.requests());
@@ -181,7 +166,7 @@
     let mut document = spec(20_000);
     document["share"] = serde_json::json!({"max_held": 4});
     place.site.admin.tenant("acme", &document, &[backend.addr]).await.unwrap();
-    let quic = place.connect().await;
+    let quic = connect(&place).await;
     let long = Duration::from_secs(20);
     let mut streams = Vec::new();
     for n in 0..4 {
@@ -214,7 +199,7 @@
     let place = place().await;
     let backend = Backend::start(Does::Serve(Duration::from_millis(20))).await.unwrap();
     place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
-    let (rude, other) = (place.connect().await, place.connect().await);
+    let (rude, other) = (connect(&place).await, connect(&place).await);
     let code = h3::error::Code::H3_REQUEST_CANCELLED;
     let floods = async {
         for n in 0..20_000 {
@@ -241,118 +226,18 @@
 
 /// A server of either protocol.
 async fn server(http3: bool, does: Does) -> Backend {
-    Backend::make(does, Make { http3, ..Make::default() }).await.unwrap()
-}
-
-/// Adds a server that has been warm for long to a tenant.
-async fn add(place: &Place, tenant: &str, id: &str, server: &Backend) -> Reply {
-    let mut document = json!({"address": server.addr, "started_ms": 0});
-    if let Some(pin) = &server.pin {
-        document["protocol"] = json!("http3");
-        document["pin"] = json!(pin);
-    }
-    place.site.admin.put(&format!("tenants/{tenant}/backends/{id}"), If::Absent, &document).await.unwrap()
-}
-
-/// A client of either protocol.
-enum Client {
-    Tcp(client::Connection),
-    Quic(Connection),
-}
-
-impl Client {
-    async fn ask(&mut self, one: &Ask) -> std::io::Result<client::Answer> {
-        match self {
-            Client::Tcp(connection) => connection.ask(one).await,
-            Client::Quic(connection) => connection.ask(one).await,
-        }
-    }
-}
-
-async fn client(place: &Place, http3: bool) -> Client {
-    if http3 {
-        return Client::Quic(place.connect().await);
-    }
-    let tls = tls_http1(std::slice::from_ref(&place.certificate.der)).unwrap();
-    Client::Tcp(client::Connection::open_tls(place.site.addr, tls).await.unwrap())
-}
-
-/// What a client and two servers have seen of one request.
-type Seen = (u16, Vec<u8>, [u64; 2], u32);
-
-/// What becomes of a lookup and a renew where the server that the key belongs to does as it is told and another
-/// serves; each for a tenant of its own, so that nothing was learnt before it.
-async fn outcomes(place: &Place, way: (bool, bool), does: Does) -> Vec<Seen> {
-    let (from, to) = way;
-    let mut all = Vec::new();
-    for class in ["lookup", "renew"] {
-        let told: String = format!("{does:?}").chars().filter(char::is_ascii_alphanumeric).collect();
-        let tenant = format!("{class}-{}{}-{}", u8::from(from), u8::from(to), told.to_lowercase());
-        place.site.admin.tenant(&tenant, &spec(1_500), &[]).await.unwrap();
-        let (odd, good) = (server(to, AT_ONCE).await, server(to, AT_ONCE).await);
-        assert_eq!(add(place, &tenant, "odd", &odd).await.status, 201);
-        assert_eq!(add(place, &tenant, "good", &good).await.status, 201);
-        let mut asks = client(place, from).await;
-        let mut key = None;
-        for n in 0..200 {
-            let one = Ask { key: format!("k{n}"), ..Ask::lookup(&tenant, format!("{tenant}-find{n}")) };
-            let before = odd.requests();
-            assert_eq!(asks.ask(&one).await.unwrap().status, 200);
-            if odd.requests() > before {
-                key = Some(one.key);
-                break;
-            }
-        }
-        let key = key.expect("a key of the odd server's");
-        odd.does(does);
-        let txn = format!("{tenant}-asked");
-        let one = match class {
-            "lookup" => Ask::lookup(&tenant, txn.clone()),
-            _ => Ask::renew(&tenant, txn.clone()),
-        };
-        let one = Ask { key, ..one }.within(Duration::from_millis(1_200));
-        let before = [odd.requests(), good.requests()];
-        let answer = asks.ask(&one).await.unwrap();
-        let attempts = [odd.requests() - before[0], good.requests() - before[1]];
-        let ran = odd.ran().get(&txn).copied().unwrap_or(0) + good.ran().get(&txn).copied().unwrap_or(0);
-        let body = answer.body.to_vec();
-        let body = if body == txn.as_bytes() { b"its own".to_vec() } else { body };
-        all.push((answer.status.as_u16(), body, attempts, ran));
-        assert_eq!(second_effects([&odd, &good]), 0, "{way:?} {does:?}");
-    }
-    all
-}
-
-// Client and server of either protocol, four ways: the same answers, attempts and effects.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn outcomes_are_the_same_four_ways() {
-    let place = place().await;
-    for does in [AT_ONCE, Does::TurnAway, Does::Reset, Does::Error] {
-        let mut first = None;
-        for way in [(false, false), (false, true), (true, false), (true, true)] {
-            let seen = outcomes(&place, way, does).await;
-            match &first {
-                None => first = Some(seen),
-                Some(first) => assert_eq!(*first, seen, "{way:?} {does:?}"),
-            }
-        }
-        let first = first.unwrap();
-        // A lookup is answered whatever one server does; a renew that may have run is not tried again.
-        assert_eq!(first[0].0, 200, "{does:?} {first:?}");
-        let renew = if matches!(does, Does::Reset | Does::Error) { 502 } else { 200 };
-        assert_eq!((first[1].0, first[1].3), (renew, 1), "{does:?} {first:?}");
-    }
+    Way { from3: true, to3: http3 }.server(does).await.unwrap()
 }
 
 // A stream that is reset as not looked at never ran: a renew is tried elsewhere, and runs once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_a_server_rejects_is_tried_elsewhere() {
     let place = place().await;
-    let seen = outcomes(&place, (true, true), Does::Reject).await;
-    for (status, body, attempts, _) in &seen {
-        assert_eq!((*status, body.as_slice(), attempts[0]), (200, b"its own".as_slice(), 1), "{seen:?}");
+    for class in ["lookup", "renew"] {
+        let seen = outcomes::outcome(&place, class, "rejects", Does::Reject).await.unwrap();
+        assert_eq!((seen.status, seen.own, seen.attempts), (200, true, [1, 1]), "{seen:?}");
+        assert_eq!((seen.ran, seen.second_effects), (u32::from(class == "renew"), 0), "{seen:?}");
     }
-    assert_eq!(seen[1].3, 1);
 }
 
 // A certificate that is not the pinned one, and a server that speaks HTTP/1.1 alone: nothing ran there, and the
@@ -363,7 +248,7 @@
     let (good, stranger, plain) =
         (server(true, AT_ONCE).await, server(true, AT_ONCE).await, server(false, AT_ONCE).await);
     place.site.admin.tenant("acme", &spec(2_000), &[]).await.unwrap();
-    add(&place, "acme", "good", &good).await;
+    assert_eq!(place.add("acme", "good", &good).await.unwrap().status, 201);
     for (id, addr) in [("stranger", stranger.addr), ("plain", plain.addr)] {
         let document = json!({"address": addr, "protocol": "http3", "pin": good.pin, "started_ms": 0});
         let put = place
@@ -374,7 +259,7 @@
             .unwrap();
         assert_eq!(put.status, 201, "{put:?}");
     }
-    let mut asks = client(&place, true).await;
+    let mut asks = place.door().connect().await.unwrap();
     for n in 0..30 {
         let one = if n % 2 == 0 {
             Ask::renew("acme", format!("r{n}"))
@@ -398,9 +283,9 @@
     let place = place().await;
     let (a, b) = (server(true, Does::Serve(Duration::from_millis(20))).await, server(true, AT_ONCE).await);
     place.site.admin.tenant("acme", &spec(2_000), &[]).await.unwrap();
-    add(&place, "acme", "a", &a).await;
-    add(&place, "acme", "b", &b).await;
-    let quic = std::sync::Arc::new(place.connect().await);
+    assert_eq!(place.add("acme", "a", &a).await.unwrap().status, 201);
+    assert_eq!(place.add("acme", "b", &b).await.unwrap().status, 201);
+    let quic = std::sync::Arc::new(connect(&place).await);
     let burst = |name: &'static str| {
         let quic = quic.clone();
         async move {
@@ -446,7 +331,7 @@
     let place = place().await;
     let backend = server(true, Does::Serve(Duration::from_millis(5))).await;
     place.site.admin.tenant("acme", &spec(8_000), &[]).await.unwrap();
-    add(&place, "acme", "s", &backend).await;
+    assert_eq!(place.add("acme", "s", &backend).await.unwrap().status, 201);
     let relay = Relay::start(place.site.addr, 7).await.unwrap();
     relay.ails(Ails { lost: 0.1, doubled: 0.05, late: 0.05 });
     let connecting = Connection::open(relay.addr, std::slice::from_ref(&place.certificate.der));
@@ -480,7 +365,7 @@
     let place = place().await;
     let backend = Backend::start(AT_ONCE).await.unwrap();
     place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
-    let quic = std::sync::Arc::new(place.connect().await);
+    let quic = std::sync::Arc::new(connect(&place).await);
     let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
     let load = {
         let (quic, stop) = (quic.clone(), stop.clone());
@@ -523,7 +408,7 @@
     place.site.admin.tenant("acme", &spec(4_000), &[backend.addr]).await.unwrap();
     let mut clients = tokio::task::JoinSet::new();
     for c in 0..4 {
-        let quic = place.connect().await;
+        let quic = connect(&place).await;
         clients.spawn(async move {
             let (mut answered, mut refused) = (Vec::new(), Vec::new());
             for n in 0.. {
@@ -571,7 +456,7 @@
     let place = place().await;
     let backend = Backend::start(AT_ONCE).await.unwrap();
     place.site.admin.tenant("acme", &spec(2_000), &[backend.addr]).await.unwrap();
-    let (rude, other) = (place.connect().await, place.connect().await);
+    let (rude, other) = (connect(&place).await, connect(&place).await);
     let mut streams = Vec::new();
     for n in 0..1_000 {
         let (request, _) = http3::request(&Ask::lookup("acme", format!("n{n}"))).unwrap();
@@ -610,7 +495,7 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     for n in 0..20 {
-        let quic = place.connect().await;
+        let quic = connect(&place).await;
         assert_eq!(quic.ask(&Ask::lookup("acme", format!("f{n}"))).await.unwrap().status, 200);
     }
 }
@@ -621,7 +506,7 @@
     let mut place = place().await;
     let backend = Backend::start(Does::Hold).await.unwrap();
     place.site.admin.tenant("acme", &spec(8_000), &[backend.addr]).await.unwrap();
-    let quic = std::sync::Arc::new(place.connect().await);
+    let quic = std::sync::Arc::new(connect(&place).await);
     let held = {
         let quic = quic.clone();
         let one = Ask::renew("acme", "held").within(Duration::from_secs(8));
@@ -655,3 +540,175 @@
     assert!(!backend.ran().contains_key(&format!("late{n}")));
     assert_eq!(second_effects([&backend]), 0);
 }
+
+// A server says that it takes no request from this one on (RFC 9114, section 5.2): it never ran there, so a renew goes
+// elsewhere at once, and runs once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_a_goaway_leaves_out_is_tried_elsewhere() {
+    let place = place().await;
+    for class in ["lookup", "renew"] {
+        let start = Instant::now();
+        let seen = outcomes::outcome(&place, class, "goes-away", Does::Goaway).await.unwrap();
+        assert_eq!((seen.status, seen.own, seen.attempts[1]), (200, true, 1), "{seen:?}");
+        assert_eq!((seen.ran, seen.second_effects), (u32::from(class == "renew"), 0), "{seen:?}");
+        // It is tried on a new connection too, where the server says the same.
+        assert!((1..=3).contains(&seen.attempts[0]), "{seen:?}");
+        assert!(start.elapsed() < PATIENCE);
+    }
+}
+
+// What is below the id of a GOAWAY may have run: its answer counts, and if there is none a renew is not tried again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_a_goaway_spares_may_have_run() {
+    let place = place().await;
+    let seen = outcomes::outcome(&place, "renew", "goes-after", Does::GoawayAfter).await.unwrap();
+    assert_eq!((seen.status, seen.own, seen.attempts, seen.ran), (200, true, [1, 0], 1), "{seen:?}");
+    let seen = outcomes::outcome(&place, "renew", "goes-resets", Does::GoawayReset).await.unwrap();
+    assert_eq!((seen.status, seen.attempts, seen.ran), (502, [1, 0], 1), "{seen:?}");
+    let seen = outcomes::outcome(&place, "lookup", "goes-resets", Does::GoawayReset).await.unwrap();
+    assert_eq!((seen.status, seen.own, seen.attempts), (200, true, [1, 1]), "{seen:?}");
+}
+
+/// Tells every node of this process to read its files again.
+fn hang_up() {
+    let told = std::process::Command::new("kill").args(["-HUP", &std::process::id().to_string()]).status();
+    assert!(told.unwrap().success());
+}
+
+// Servers that are known by a name and an authority: who is not that gets nothing, and authorities change in service.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn servers_are_trusted_by_name_and_authority() {
+    let pem = |server: &Backend| {
+        let der = server.certificate.as_ref().unwrap();
+        let lines = base64::Engine::encode(&base64::engine::general_purpose::STANDARD, der);
+        format!("-----BEGIN CERTIFICATE-----\n{lines}\n-----END CERTIFICATE-----\n")
+    };
+    let (good, stranger) = (server(true, AT_ONCE).await, server(true, AT_ONCE).await);
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("authorities.pem");
+    std::fs::write(&file, pem(&good)).unwrap();
+    let trusted = file.clone();
+    let way = Way { from3: true, to3: true };
+    let place = Place::configured(way, move |config| config.authorities = Some(trusted)).await.unwrap();
+    let admin = &place.site.admin;
+    let named = |server: &Backend, name: &str| json!({"address": server.addr, "protocol": "http3", "server_name": name, "started_ms": 0});
+    for (tenant, servers) in [
+        ("acme", vec![("good", named(&good, http3::NAME)), ("stranger", named(&stranger, http3::NAME))]),
+        ("other", vec![("misnamed", named(&good, "other.example"))]),
+    ] {
+        admin.tenant(tenant, &spec(2_000), &[]).await.unwrap();
+        for (id, document) in servers {
+            let path = format!("tenants/{tenant}/backends/{id}");
+            let put = admin.put(&path, If::Absent, &document).await.unwrap();
+            assert_eq!(put.status, 201, "{put:?}");
+        }
+    }
+    let mut asks = place.door().connect().await.unwrap();
+    for n in 0..20 {
+        assert_eq!(asks.ask(&Ask::renew("acme", format!("r{n}"))).await.unwrap().status, 200, "{n}");
+    }
+    // Its only server is not who it should be: nothing ran, so it is refused.
+    assert_eq!(asks.ask(&Ask::renew("other", "o")).await.unwrap().status, 503);
+    assert_eq!((good.requests(), stranger.requests()), (20, 0));
+    // What cannot be read is not taken; what can is, for new connections.
+    std::fs::write(&file, "no certificate").unwrap();
+    hang_up();
+    assert_eq!(asks.ask(&Ask::renew("acme", "still")).await.unwrap().status, 200);
+    std::fs::write(&file, pem(&good) + &pem(&stranger)).unwrap();
+    hang_up();
+    let mut n = 0;
+    while stranger.requests() == 0 {
+        n += 1;
+        assert!(n < 20_000, "the new authority is not taken");
+        let answer = asks.ask(&Ask::lookup("acme", format!("l{n}"))).await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(second_effects([&good, &stranger]), 0);
+}
+
+// A node that trusts no authorities does not guess: such a server gets nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn without_authorities_a_name_is_no_proof() {
+    let place = place().await;
+    let good = server(true, AT_ONCE).await;
+    place.tenant("acme", &spec(2_000), &[]).await.unwrap();
+    let document = json!({"address": good.addr, "protocol": "http3", "server_name": http3::NAME});
+    let put = place.site.admin.put("tenants/acme/backends/s", If::Absent, &document).await.unwrap();
+    assert_eq!(put.status, 201, "{put:?}");
+    assert_eq!(place.ask(&Ask::lookup("acme", "x")).await.unwrap().status, 503);
+    assert_eq!((good.requests(), good.opened()), (0, 0));
+    let both = json!({"address": good.addr, "protocol": "http3", "server_name": "x", "pin": good.pin});
+    let put = place.site.admin.put("tenants/acme/backends/t", If::Absent, &both).await.unwrap();
+    assert_eq!((put.status, &put.body["errors"][0]["field"]), (422, &json!("server_name")));
+}
+
+// A client's stream ends, or is reset, at every byte of a renew but the last: none of them ever runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_is_cut_at_any_byte_never_runs() {
+    let place = place().await;
+    let backend = Backend::start(AT_ONCE).await.unwrap();
+    place.tenant("acme", &spec(4_000), &[&backend]).await.unwrap();
+    let mut quic = connect(&place).await;
+    let whole = http3::encoded(&Ask::renew("acme", "cut")).unwrap();
+    for at in 0..whole.len() {
+        for resets in [false, true] {
+            if !quic.is_open() {
+                // A frame that is cut ends the connection (RFC 9114, section 7.1).
+                quic = connect(&place).await;
+            }
+            let Ok((mut send, mut receive)) = quic.quic().open_bi().await else { continue };
+            if send.write_all(&whole[..at]).await.is_err() {
+                continue;
+            }
+            if resets {
+                let _ = send.reset((0x100 + at as u32 % 0x11).into());
+            } else {
+                let _ = send.finish();
+                // Whatever comes, an answer or the end: it has been seen.
+                let _ = tokio::time::timeout(PATIENCE, receive.read_to_end(4_096)).await.unwrap();
+            }
+        }
+    }
+    assert_eq!(backend.requests(), 0);
+    let quic = connect(&place).await;
+    let (mut send, mut receive) = quic.quic().open_bi().await.unwrap();
+    send.write_all(&whole).await.unwrap();
+    send.finish().unwrap();
+    assert!(!receive.read_to_end(4_096).await.unwrap().is_empty());
+    assert_eq!((backend.requests(), backend.ran()["cut"]), (1, 1));
+    let held = || async {
+        place.site.admin.get("tenants/acme/status").await.unwrap().body["held"].as_u64().unwrap()
+    };
+    until("nothing is held", || async { held().await == 0 }).await;
+}
+
+// A server gives no room for a request's body (RFC 9000, section 4): the request ends by its deadline, a renew is not
+// tried again, and what it held is free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_reads_no_body_holds_nobody_past_the_deadline() {
+    let place = place().await;
+    let make = Make { http3: true, window: Some(2_048), ..Make::default() };
+    let (stuck, good) = (Backend::make(Does::Unread, make).await.unwrap(), server(true, AT_ONCE).await);
+    place.tenant("acme", &spec(4_000), &[&stuck]).await.unwrap();
+    let quic = connect(&place).await;
+    let body = Bytes::from(vec![b'x'; 60_000]);
+    let wait = Duration::from_millis(600);
+    let (request, _) = http3::request(&Ask::renew("acme", "big").within(wait)).unwrap();
+    let (mut parts, ()) = request.into_parts();
+    parts.headers.insert("content-length", body.len().into());
+    let mut stream = quic.begin(Request::from_parts(parts, ())).await.unwrap();
+    stream.send_data(body).await.unwrap();
+    stream.finish().await.unwrap();
+    let sent = Instant::now();
+    // Another server comes meanwhile: it must not get what the first may have run.
+    assert_eq!(place.add("acme", "good", &good).await.unwrap().status, 201);
+    let answer = http3::answer(&mut stream, sent).await.unwrap();
+    assert!(answer.status == 502 || answer.status == 504, "{answer:?}");
+    assert!(answer.spent < wait + Duration::from_millis(200), "{answer:?}");
+    let held = || async {
+        place.site.admin.get("tenants/acme/status").await.unwrap().body["held"].as_u64().unwrap()
+    };
+    until("nothing is held", || async { held().await == 0 }).await;
+    assert_eq!((stuck.requests(), good.requests(), second_effects([&stuck, &good])), (1, 0, 0));
+}
--- a/crates/proof/src/http3.rs
+++ b/crates/proof/src/http3.rs
@@ -14,7 +14,9 @@
 use woodgap_testkit::hosted::{tokens, OPERATOR};
 use woodgap_testkit::http3::{self, certificate, tls_http1, Certificate};
 use woodgap_testkit::load::quantile;
+use woodgap_testkit::outcomes;
 use woodgap_testkit::relay::{Ails, Relay};
+use woodgap_testkit::way::{Place, Way};
 
 use crate::process::{program, Process};
 use crate::tenants::{compared, rounded, spread};
@@ -166,7 +168,7 @@
 async fn servers(site: &Site) -> Result<Vec<Backend>, Fault> {
     let mut servers = Vec::new();
     for _ in 0..4 {
-        let make = Make { cores: 256, queue: 4_096, remember: false, http3: false };
+        let make = Make { cores: 256, queue: 4_096, remember: false, ..Make::default() };
         servers.push(Backend::make(Does::Serve(Duration::from_millis(1)), make).await?);
     }
     let addrs: Vec<SocketAddr> = servers.iter().map(|server| server.addr).collect();
@@ -335,6 +337,32 @@
     }))
 }
 
+/// What becomes of a lookup and a renew under each fault of a server, over each way; `differences` counts the rows that
+/// are not as over HTTP/1.1 throughout.
+async fn outcomes() -> Result<Value, Fault> {
+    let tables =
+        Way::ALL.map(|way| tokio::spawn(async move { outcomes::table(&Place::start(way).await?).await }));
+    let mut all = Vec::new();
+    for table in tables {
+        all.push(table.await??);
+    }
+    let (mut differences, mut second, mut rows) = (0, 0, 0);
+    println!("{:<24}{:>16}{:>16}{:>16}{:>16}", "status, attempts, ran", "h1-h1", "h1-h3", "h3-h1", "h3-h3");
+    for (n, (name, first)) in all[0].iter().enumerate() {
+        let mut line = format!("{name:<24}");
+        for table in &all {
+            let (other, seen) = &table[n];
+            rows += 1;
+            differences += u64::from(other != name || seen != first);
+            second += seen.second_effects;
+            let shown = format!("{} {}+{} {}", seen.status, seen.attempts[0], seen.attempts[1], seen.ran);
+            line += &format!("{shown:>16}");
+        }
+        println!("{line}");
+    }
+    Ok(json!({"outcomes": rows, "differences": differences, "outcome_second_effects": second}))
+}
+
 /// All of it, or one part; the figures as one object.
 pub async fn measure(
     long: bool,
@@ -350,6 +378,9 @@
             all.extend(part);
         }
     };
+    if wanted("outcomes") {
+        add(outcomes().await?);
+    }
     if wanted("load") {
         add(load(long).await?);
     }
--- a/crates/proof/src/tenants.rs
+++ b/crates/proof/src/tenants.rs
@@ -84,12 +84,12 @@
 
 async fn isolation(long: bool, flood_per_s: f64) -> Result<Value, Fault> {
     let site = site("sockets = 4096")?;
-    let fast = Make { cores: 64, queue: 4_096, remember: false, http3: false };
+    let fast = Make { cores: 64, queue: 4_096, remember: false, ..Make::default() };
     let (mut quiet, mut flooded) = (Vec::new(), Vec::new());
     for _ in 0..4 {
         quiet.push(Backend::make(Does::Serve(Duration::from_millis(5)), fast).await?);
         // Together they can do 800 a second, a fifth of the flood.
-        let slow = Make { cores: 2, queue: 16, remember: false, http3: false };
+        let slow = Make { cores: 2, queue: 16, remember: false, ..Make::default() };
         flooded.push(Backend::make(Does::Serve(Duration::from_millis(10)), slow).await?);
     }
     let addrs = |servers: &[Backend]| servers.iter().map(|server| server.addr).collect::<Vec<_>>();
@@ -344,7 +344,7 @@
 
 /// The platform's node now and before, in turns under one load.
 pub async fn compared(now: Option<PathBuf>, before: Option<&Path>) -> Result<Value, Fault> {
-    let fast = Make { cores: 64, queue: 4_096, remember: false, http3: false };
+    let fast = Make { cores: 64, queue: 4_096, remember: false, ..Make::default() };
     let mut servers = Vec::new();
     for _ in 0..6 {
         servers.push(Backend::make(Does::Serve(Duration::from_millis(5)), fast).await?);
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -47,6 +47,8 @@
     Goaway,
     /// Over HTTP/3: says that it takes this request and none after it, and answers it 50 ms later.
     GoawayAfter,
+    /// Over HTTP/3: the same, but it resets the request's stream in place of the answer.
+    GoawayReset,
     /// Runs it on its head alone: over HTTP/3 nothing of its body is read, as long as this stands.
     Unread,
 }
@@ -390,7 +392,7 @@
             let _ = script.goaway(stream.id().into_inner()).await;
             return std::future::pending().await;
         }
-        Does::GoawayAfter => drop(script.goaway(stream.id().into_inner() + 4).await),
+        Does::GoawayAfter | Does::GoawayReset => drop(script.goaway(stream.id().into_inner() + 4).await),
         Does::Unread => {
             state.note(&Named::of(&request), Instant::now(), true, number);
             state.changed(Does::Unread).await;
@@ -405,6 +407,13 @@
     let does = state.does();
     if let (Does::Cut { after, end }, Some(cut)) = (does, cut) {
         cut.arm(after, end);
+        if let End::Held(_) = end {
+            let state = state.clone();
+            tokio::spawn(async move {
+                state.changed(does).await;
+                cut.free();
+            });
+        }
     }
     let rejects = does == Does::Reject;
     let answered = answer(state, request.map(|()| Full::new(Bytes::from(body))), number).await;
@@ -467,6 +476,6 @@
         }
         Does::Error => Ok(reply(500, false, "")),
         Does::TurnAway | Does::Reject => Ok(reply(503, true, "")),
-        Does::Reset | Does::Hold | Does::Goaway | Does::Unread => Err(Break),
+        Does::Reset | Does::GoawayReset | Does::Hold | Does::Goaway | Does::Unread => Err(Break),
     }
 }
--- a/crates/testkit/src/http3.rs
+++ b/crates/testkit/src/http3.rs
@@ -317,6 +317,55 @@
     Ok((request.body(()).map_err(io::Error::other)?, body))
 }
 
+/// A length in the form of QPACK and HPACK: the bits of the first byte that are free, then seven at a time (RFC 7541,
+/// section 5.1).
+fn length(out: &mut Vec<u8>, first: u8, bits: u32, length: usize) {
+    let most = (1usize << bits) - 1;
+    if length < most {
+        return out.push(first | length as u8);
+    }
+    out.push(first | most as u8);
+    let mut left = length - most;
+    while left >= 128 {
+        out.push((left % 128) as u8 | 128);
+        left /= 128;
+    }
+    out.push(left as u8);
+}
+
+/// A request as the bytes of its stream, for tests that cut it: HEADERS without a table (RFC 9204, section 4.5.6), then
+/// DATA.
+///
+/// # Errors
+/// Where it cannot be put into a head.
+pub fn encoded(ask: &Ask) -> io::Result<Vec<u8>> {
+    let (head, body) = request(ask)?;
+    let method = head.method().as_str();
+    let path = head.uri().path_and_query().map_or("/", |path| path.as_str());
+    let mut fields =
+        vec![(":method", method), (":scheme", "https"), (":authority", &ask.host), (":path", path)];
+    for (name, value) in head.headers() {
+        fields.push((name.as_str(), value.to_str().map_err(io::Error::other)?));
+    }
+    let mut section = vec![0, 0];
+    for (name, value) in fields {
+        length(&mut section, 0x20, 3, name.len());
+        section.extend_from_slice(name.as_bytes());
+        length(&mut section, 0, 7, value.len());
+        section.extend_from_slice(value.as_bytes());
+    }
+    let mut bytes = Vec::new();
+    for (kind, payload) in [(1u8, section.as_slice()), (0, body.as_ref())] {
+        if kind == 1 || !payload.is_empty() {
+            bytes.push(kind);
+            // The form of two bytes (RFC 9000, section 16).
+            bytes.extend_from_slice(&(0x4000 | payload.len() as u16).to_be_bytes());
+            bytes.extend_from_slice(payload);
+        }
+    }
+    Ok(bytes)
+}
+
 /// Reads an answer to its end.
 ///
 /// # Errors
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -11,7 +11,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 
 use bytes::{Buf, Bytes};
 use h3::error::Code;
@@ -30,28 +30,53 @@
     Close(u64),
     /// Nothing more comes.
     Stall,
+    /// Over HTTP/3: nothing more comes until the server is told to do something else; then its stream is reset with
+    /// this code. Over HTTP/1.1 as [`End::Stall`].
+    Held(u64),
 }
 
 /// Where an answer is cut: after so many bytes, head and framing counted.
 #[derive(Debug, Default)]
-pub struct Cut(Mutex<Option<(usize, End)>>);
+pub struct Cut {
+    at: Mutex<Option<(usize, End)>>,
+    /// Whether what is held may end, and who waits for that.
+    freed: Mutex<(bool, Option<Waker>)>,
+}
 
 impl Cut {
     /// Cuts what goes out from now on.
     pub fn arm(&self, after: usize, end: End) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some((after, end));
+        *self.at.lock().unwrap_or_else(PoisonError::into_inner) = Some((after, end));
     }
 
     /// How much of so many bytes may go out, and what comes after that.
     fn allows(&self, bytes: usize) -> (usize, Option<End>) {
-        match *self.0.lock().unwrap_or_else(PoisonError::into_inner) {
+        match *self.at.lock().unwrap_or_else(PoisonError::into_inner) {
             Some((left, end)) if bytes >= left => (left, Some(end)),
             _ => (bytes, None),
         }
     }
 
+    /// What is held ends.
+    pub fn free(&self) {
+        let mut freed = self.freed.lock().unwrap_or_else(PoisonError::into_inner);
+        freed.0 = true;
+        if let Some(waker) = freed.1.take() {
+            waker.wake();
+        }
+    }
+
+    fn poll_freed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut freed = self.freed.lock().unwrap_or_else(PoisonError::into_inner);
+        if freed.0 {
+            return Poll::Ready(());
+        }
+        freed.1 = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
     fn passed(&self, bytes: usize) {
-        if let Some((left, _)) = &mut *self.0.lock().unwrap_or_else(PoisonError::into_inner) {
+        if let Some((left, _)) = &mut *self.at.lock().unwrap_or_else(PoisonError::into_inner) {
             *left = left.saturating_sub(bytes);
         }
     }
@@ -85,7 +110,7 @@
         let (most, end) = self.cut.allows(data.len());
         if let (0, Some(end)) = (most, end) {
             return match end {
-                End::Stall => Poll::Pending,
+                End::Stall | End::Held(_) => Poll::Pending,
                 End::Reset(_) | End::Close(_) => Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
             };
         }
@@ -242,6 +267,11 @@
             if let (0, Some(end)) = (most, end) {
                 let code = match end {
                     End::Stall => return Poll::Pending,
+                    End::Held(code) => {
+                        ready!(self.cut.poll_freed(cx));
+                        self.inner.reset(code);
+                        code
+                    }
                     End::Reset(code) => {
                         self.inner.reset(code);
                         code
