Begin fair queues: gate, room and hints, pure, with the design note

One large club starves the small ones, as the module's limit knows no club.

Change: the package `admission`: start-time fair queueing by tenant and by hashed key over expected work, a room that is learned from how requests end, a line of promises for when to come back, a slab of a fixed size. Not wired in yet.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,24 @@
+//! Who gets the room that a pool has: fair queues by tenant and by key, a short wait, and an honest word on when to come
+//! back. Pure: no sockets, no clock, no hash-map order in a choice; times come in as arguments.
+//!
+//! ```text
+//!   front ──Arrival──▶ Gate::arrive ──▶ Admit ───────────────▶ pool
+//!                         │ Hold: waits in its key's queue       │
+//!                         │ Refuse { retry_after }               │ how it ended
+//!                         ▼                                      ▼
+//!   front ◀──Ruling── Gate::next ◀── room ◀── Room::done ◀── Gate::done
+//! ```
+//!
+//! - [`room`]: how many requests the pool takes at a time, learned from how its requests end.
+//! - [`gate`]: tenants by weight, then keys inside a tenant, both by start-time fair queueing over expected work.
+//! - [`hint`]: when to come back.
+//!
+//! A [`gate::Gate`] owns what waits; the front owns the requests themselves and carries its rulings out. All memory is
+//! taken when it is made: nothing grows with the keys that appear.
+
+pub mod gate;
+pub mod hint;
+pub mod room;
+
+/// Microseconds, of a clock that does not go back; one that does counts as standing still.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/admission/src/room.rs
@@ -0,0 +1,302 @@
+//! How many requests a pool takes at a time: learned, not configured.
+//!
+//! Additive increase, multiplicative decrease (Chiu and Jain 1989) of what may be out at once, by rounds of about one
+//! answer time. The signs of too much are the pool's own refusals, failures for want of time, and answers that take a
+//! multiple of what they take when half of the room is free. They count by their part of a round, so that one server's
+//! trouble, which the pool's module deals with, is not taken for the fleet's.
+
+use crate::Micros;
+
+/// Requests that are let out before anything is known.
+pub const FIRST: f64 = 16.0;
+/// There is room for one at least, or nothing would ever be learned.
+pub const LEAST: f64 = 1.0;
+/// Answers that take this multiple of the usual are a sign of too much.
+pub const SLOW: f64 = 2.5;
+/// Parts of a round that are refused by the pool, or late, beyond which there was too much.
+pub const REFUSED: f64 = 0.02;
+/// See [`REFUSED`].
+pub const LATE: f64 = 0.2;
+/// What a round with too much leaves of the room.
+pub const KEEP: f64 = 0.9;
+/// What a good round adds where the room was used: a part, and requests at least. Until there was too much for the
+/// first time it doubles.
+pub const MORE: (f64, f64) = (0.005, 0.1);
+/// A round takes as long as an answer, within these bounds, and longer until it has seen a quarter of the room.
+pub const ROUND: (Micros, Micros) = (10_000, 500_000);
+/// Part of the room that has to be in use for a good round to be a sign that there is more.
+pub const USED: f64 = 0.8;
+/// What the usual answer time moves by with each answer. It is learned from answers that were given while half of the
+/// room was free: a pool that is full all day would else come to count its queues as usual.
+const DRIFT: f64 = 0.05;
+/// After so many rounds in a row whose cuts did not make answers quicker, they take longer for another reason, and the
+/// usual answer time is raised by [`RAISE`] each round in place of a cut.
+const VAIN: u32 = 20;
+/// See [`VAIN`].
+const RAISE: f64 = 1.1;
+/// How often the rate is counted.
+const COUNT: Micros = 200_000;
+
+/// How a request at the pool ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Answered by a server.
+    Served,
+    /// The pool had no room for it.
+    Refused,
+    /// Its time ran out.
+    Late,
+    /// Otherwise: no sign of how much the pool can do.
+    Otherwise,
+}
+
+/// The room of one pool.
+#[derive(Clone, Debug)]
+pub struct Room {
+    limit: f64,
+    most: f64,
+    out: u32,
+    /// Answer time when there is room, microseconds; 0 before the first answer.
+    usual: f64,
+    /// Answer time now, smoothed.
+    lately: f64,
+    /// Served a second, smoothed, and when that was last counted.
+    rate: f64,
+    counted: Micros,
+    served: u32,
+    /// This round: since when, and requests that ended, were refused, and late.
+    round: Micros,
+    ended: u32,
+    refused: u32,
+    late: u32,
+    /// The most that was out in this round, and the part of the room that this was in the one before.
+    peak: u32,
+    before: f64,
+    /// Rounds in a row with answers that were slow.
+    vain: u32,
+    /// Whether there ever was too much: until then the room doubles.
+    met: bool,
+}
+
+impl Room {
+    /// Room of a pool that nothing is known of; `most` is never passed.
+    pub fn new(most: u32) -> Self {
+        let most = f64::from(most.max(1));
+        Room {
+            limit: FIRST.min(most),
+            most,
+            out: 0,
+            usual: 0.0,
+            lately: 0.0,
+            rate: 0.0,
+            counted: 0,
+            served: 0,
+            round: 0,
+            ended: 0,
+            refused: 0,
+            late: 0,
+            peak: 0,
+            before: 0.0,
+            vain: 0,
+            met: false,
+        }
+    }
+
+    /// Requests that may be out at a time, in whole ones.
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Requests that are out.
+    pub fn out(&self) -> u32 {
+        self.out
+    }
+
+    /// Whether one more may go.
+    pub fn is_free(&self) -> bool {
+        self.out < self.limit()
+    }
+
+    /// Requests served a second, lately; by the answer times before enough is counted. 0 while nothing is known.
+    pub fn rate(&self) -> f64 {
+        match self.rate {
+            rate if rate > 0.0 => rate,
+            _ if self.lately > 0.0 => self.limit * 1e6 / self.lately,
+            _ => 0.0,
+        }
+    }
+
+    /// What a request takes at the pool, lately, in microseconds.
+    pub fn takes(&self) -> Micros {
+        self.lately as Micros
+    }
+
+    /// One more is out.
+    pub fn sent(&mut self) {
+        self.out += 1;
+        self.peak = self.peak.max(self.out);
+    }
+
+    /// One that was out has ended, after this long.
+    pub fn done(&mut self, now: Micros, ended: Ended, took: Micros) {
+        self.out = self.out.saturating_sub(1);
+        self.ended += u32::from(ended != Ended::Otherwise);
+        self.refused += u32::from(ended == Ended::Refused);
+        self.late += u32::from(ended == Ended::Late);
+        if ended == Ended::Served {
+            self.count(now);
+            let took = (took as f64).max(1.0);
+            if self.usual == 0.0 {
+                (self.usual, self.lately) = (took, took);
+            }
+            self.lately += 0.1 * (took - self.lately);
+            if self.lately < self.usual || self.used() < 0.5 {
+                self.usual += DRIFT * (self.lately - self.usual);
+            }
+        }
+        let span = (self.lately as Micros).clamp(ROUND.0, ROUND.1);
+        if now.saturating_sub(self.round) >= span && f64::from(self.ended) >= (self.limit / 4.0).max(1.0) {
+            self.turn();
+            self.round = now;
+        }
+    }
+
+    /// The part of the room that was in use, in this round and the one before.
+    fn used(&self) -> f64 {
+        (f64::from(self.peak) / self.limit).max(self.before)
+    }
+
+    /// A round is over.
+    fn turn(&mut self) {
+        let part = |count: u32| f64::from(count) / f64::from(self.ended.max(1));
+        let slow = self.lately > SLOW * self.usual;
+        let used = self.used();
+        let part_now = f64::from(self.peak) / self.limit;
+        self.vain = if slow { self.vain + 1 } else { self.vain };
+        if slow && self.vain > VAIN {
+            self.usual *= RAISE;
+        } else if slow || part(self.refused) > REFUSED || part(self.late) > LATE {
+            self.limit = (self.limit * KEEP).max(LEAST);
+            self.met = true;
+        } else {
+            // What was cut in vain comes back as quickly as it was found.
+            self.met &= self.vain <= VAIN;
+            self.vain = 0;
+            if used >= USED {
+                let more = if self.met { MORE.1.max(self.limit * MORE.0) } else { self.limit };
+                self.limit = (self.limit + more).min(self.most);
+            }
+        }
+        (self.peak, self.before) = (self.out, part_now);
+        (self.ended, self.refused, self.late) = (0, 0, 0);
+    }
+
+    fn count(&mut self, now: Micros) {
+        self.served += 1;
+        if self.counted == 0 {
+            (self.counted, self.served) = (now.max(1), 0);
+            return;
+        }
+        let span = now.saturating_sub(self.counted);
+        if span >= COUNT {
+            let rate = f64::from(self.served) * 1e6 / span as f64;
+            // After a quiet time what was counted before it says nothing.
+            let part = if self.rate == 0.0 || span > 5 * COUNT { 1.0 } else { 0.5 };
+            self.rate += part * (rate - self.rate);
+            (self.counted, self.served) = (now, 0);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A pool that serves so many at a time in 10 ms, and those beyond that later.
+    fn settle(room: &mut Room, able: u32, rounds: u64, start: Micros) -> u32 {
+        let mut now = start;
+        for _ in 0..rounds {
+            while room.is_free() {
+                room.sent();
+            }
+            let out = room.out();
+            now += 10_000 * u64::from(out.max(able)) / u64::from(able);
+            for _ in 0..out {
+                room.done(now, Ended::Served, 10_000 * u64::from(out.max(able)) / u64::from(able));
+            }
+        }
+        room.limit()
+    }
+
+    #[test]
+    fn the_room_is_found_and_found_again() {
+        let mut room = Room::new(10_000);
+        let found = settle(&mut room, 100, 400, 1);
+        assert!((90..=300).contains(&found), "{found}");
+        let rate = room.rate();
+        assert!((8_000.0..12_000.0).contains(&rate), "{rate}");
+        // Half of the servers go.
+        let fewer = settle(&mut room, 50, 400, 100_000_000);
+        assert!((45..=150).contains(&fewer), "{fewer}");
+    }
+
+    // Requests become ten times heavier, whatever is out: the room shrinks, and opens again.
+    #[test]
+    fn heavier_requests_do_not_close_the_door_for_good() {
+        let mut room = Room::new(10_000);
+        settle(&mut room, 100, 400, 1);
+        let mut now = 100_000_000;
+        for _ in 0..300 {
+            while room.is_free() && room.out() < 100 {
+                room.sent();
+            }
+            now += 100_000;
+            for _ in 0..room.out() {
+                room.done(now, Ended::Served, 100_000);
+            }
+        }
+        assert!(room.limit() >= 90, "{}", room.limit());
+    }
+
+    #[test]
+    fn one_request_in_trouble_does_not_close_the_door() {
+        let mut room = Room::new(10_000);
+        let before = settle(&mut room, 100, 400, 1);
+        room.sent();
+        room.done(200_000_000, Ended::Late, 1_000_000);
+        assert!(room.limit() >= before);
+        // Nor does a moment in which all are refused take more than a part of it.
+        for _ in 0..1_000 {
+            room.sent();
+            room.done(200_000_001, Ended::Refused, 100);
+        }
+        assert!(f64::from(room.limit()) >= f64::from(before) * KEEP - 1.0, "{}", room.limit());
+        // A server of ten that hangs: what it holds is late, and the others are as before.
+        let mut now = 300_000_000;
+        for _ in 0..1_000 {
+            while room.out() < 80 && room.is_free() {
+                room.sent();
+            }
+            now += 10_000;
+            for n in 0..room.out() {
+                room.done(now, if n % 10 == 0 { Ended::Late } else { Ended::Served }, 10_000);
+            }
+        }
+        assert!(room.limit() >= 80, "{}", room.limit());
+    }
+
+    #[test]
+    fn there_is_always_room_for_one() {
+        let mut room = Room::new(4);
+        for n in 0..1_000 {
+            room.sent();
+            room.done(n * ROUND.1, Ended::Refused, 100);
+        }
+        assert_eq!((room.limit(), room.is_free()), (1, true));
+        // What is out is never counted below nothing, and a clock that goes back is one that stands.
+        room.done(0, Ended::Served, 0);
+        room.done(u64::MAX, Ended::Served, u64::MAX);
+        assert_eq!(room.out(), 0);
+        assert!(room.rate().is_finite() && (1..=4).contains(&room.limit()));
+    }
+}
--- a/crates/node/tests/http3.rs
+++ b/crates/node/tests/http3.rs
@@ -616,10 +616,10 @@
     assert_eq!(asks.ask(&Ask::renew("acme", "still")).await.unwrap().status, 200);
     std::fs::write(&file, pem(&good) + &pem(&stranger)).unwrap();
     hang_up();
-    let mut n = 0;
+    let (mut n, start) = (0, Instant::now());
     while stranger.requests() == 0 {
         n += 1;
-        assert!(n < 20_000, "the new authority is not taken");
+        assert!(start.elapsed() < PATIENCE, "the new authority is not taken");
         let answer = asks.ask(&Ask::lookup("acme", format!("l{n}"))).await.unwrap();
         assert_eq!(answer.status, 200, "{answer:?}");
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/node/tests/suite.rs
+++ b/crates/node/tests/suite.rs
@@ -496,6 +496,9 @@
     until("they run", || async { one.requests() + other.requests() == 6 }).await;
     asked.iter().for_each(|task| task.abort());
     until("their places are free", || async { figure(admin, "acme", "held").await == 0 }).await;
+    // Over HTTP/1.1 an attempt has its connection, which ends with it; over HTTP/3 they share one that stays.
+    let ended = || async { way.to3 || one.connections() + other.connections() == 0 };
+    until("their attempts have ended", ended).await;
     for server in [&one, &other] {
         server.does(AT_ONCE);
     }
