Let requests wait their turn at a pool's door, by [admission]

Change: pool/gated.rs carries the gate out between front and driver: a request is let go, waits, or is told when to come back; one that the pool refused comes again with the time that it has left; a deleted tenant's waiting ones are answered at once, a client that goes frees its place. Key from a header, else the request's own. Off without [admission]: no gate, task or memory. The room has a floor by what the pool served lately.

--- a/crates/admission/src/room.rs
+++ b/crates/admission/src/room.rs
@@ -9,6 +9,12 @@
 
 /// Requests that are let out before anything is known.
 pub const FIRST: f64 = 16.0;
+/// A cut leaves room for this part of what the pool has served at a time lately (its best rate of [`BEST`], times the
+/// usual answer time: the bandwidth-delay product, as BBR has it, Cardwell and others 2016). What is refused beneath that
+/// is refused for another reason, and less room would only serve less.
+pub const FLOOR: f64 = 0.8;
+/// What a count leaves of the best rate: it halves in some 14 s.
+pub const BEST: f64 = 0.99;
 /// There is room for one at least, or nothing would ever be learned.
 pub const LEAST: f64 = 1.0;
 /// Answers that take this multiple of the usual are a sign of too much.
@@ -64,6 +70,8 @@
     rate: f64,
     counted: Micros,
     served: u32,
+    /// The best rate lately.
+    best: f64,
     /// This round: since when, and requests that ended, were refused, and late.
     round: Micros,
     ended: u32,
@@ -91,6 +99,7 @@
             rate: 0.0,
             counted: 0,
             served: 0,
+            best: 0.0,
             round: 0,
             ended: 0,
             refused: 0,
@@ -176,7 +185,8 @@
         if slow && self.vain > VAIN {
             self.usual *= RAISE;
         } else if slow || part(self.refused) > REFUSED || part(self.late) > LATE {
-            self.limit = (self.limit * KEEP).max(LEAST);
+            let floor = FLOOR * self.best * self.usual / 1e6;
+            self.limit = (self.limit * KEEP).max(floor.min(self.limit)).max(LEAST);
             self.met = true;
         } else {
             // What was cut in vain comes back as quickly as it was found.
@@ -203,6 +213,7 @@
             // After a quiet time what was counted before it says nothing.
             let part = if self.rate == 0.0 || span > 5 * COUNT { 1.0 } else { 0.5 };
             self.rate += part * (rate - self.rate);
+            self.best = (self.best * BEST).max(self.rate);
             (self.counted, self.served) = (now, 0);
         }
     }
@@ -285,6 +296,24 @@
         assert!(room.limit() >= 80, "{}", room.limit());
     }
 
+    // The pool refuses a part of the requests whatever is out: the door is not closed for that.
+    #[test]
+    fn refusals_for_another_reason_leave_what_is_served() {
+        let mut room = Room::new(10_000);
+        settle(&mut room, 100, 400, 1);
+        let mut now = 100_000_000;
+        for _ in 0..200 {
+            while room.is_free() && room.out() < 100 {
+                room.sent();
+            }
+            now += 10_000;
+            for n in 0..room.out() {
+                room.done(now, if n % 3 == 0 { Ended::Refused } else { Ended::Served }, 10_000);
+            }
+        }
+        assert!(room.limit() >= 50, "{}", room.limit());
+    }
+
     #[test]
     fn there_is_always_room_for_one() {
         let mut room = Room::new(4);
--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -22,6 +22,8 @@
 use super::{Directory, Turned};
 use crate::meter::Meter;
 use crate::pool::driver::{Answer, Arrival, Msg};
+#[cfg(feature = "hosted")]
+use crate::pool::gated::Through;
 use crate::pool::{bump, Service};
 use crate::sockets::Sockets;
 use crate::task::{Budget, Permit};
@@ -247,41 +249,64 @@
         }
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
-        let id = self.next_id.replace(self.next_id.get() + 1);
         // Servers tell requests apart by what clients call them: a second one under an open id would
         // run its effect twice, or be answered with the other's answer.
-        let Some(_waiting) = Waiting::new(service, id, head.txn) else {
+        let Some(waiting) = Waiting::new(service, head.txn) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
         };
-        let (reply, answer) = oneshot::channel();
-        let arrival = Arrival {
-            id,
-            class: ClassId(head.class),
-            tenant: head.tenant.map(TenantId),
-            key: head.key,
-            repeat: head.repeat,
-            cost: head.cost,
-            deadline,
-            call: Rc::new(Call { method: head.method, target: head.target, headers: head.headers, body }),
-            reply,
+        let call = Rc::new(Call { method: head.method, target: head.target, headers: head.headers, body });
+        // Each time that it is asked the request has another number: the pool may still know the last one.
+        let ask = || {
+            let id = self.next_id.replace(self.next_id.get() + 1);
+            waiting.asked(id);
+            let (reply, answer) = oneshot::channel();
+            let arrival = Arrival {
+                id,
+                class: ClassId(head.class),
+                tenant: head.tenant.map(TenantId),
+                key: head.key,
+                repeat: head.repeat,
+                cost: head.cost,
+                deadline,
+                call: call.clone(),
+                reply,
+            };
+            let sent = service.tx.send(Msg::Request(Box::new(arrival))).is_ok();
+            async move {
+                if !sent {
+                    return Answer::Refused(Some(OVERFULL));
+                }
+                answer.await.unwrap_or(Answer::Late)
+            }
         };
-        if service.tx.send(Msg::Request(Box::new(arrival))).is_err() {
-            return Ok(self.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", Some(OVERFULL)));
-        }
-        Ok(match answer.await {
-            Ok(Answer::Served(headers, body)) => {
+        #[cfg(feature = "hosted")]
+        let answer = match &service.gate {
+            None => ask().await,
+            Some((gate, header)) => {
+                let name = call.headers.get(header).map(HeaderValue::as_bytes);
+                let key = name.map(xxhash_rust::xxh3::xxh3_64).or(head.key.map(|key| key.0)).unwrap_or(0);
+                match gate.through(key, head.class, deadline, ask).await {
+                    Through::Answered(answer) => answer,
+                    Through::Refused(wait) => Answer::Refused(wait),
+                }
+            }
+        };
+        #[cfg(not(feature = "hosted"))]
+        let answer = ask().await;
+        Ok(match answer {
+            Answer::Served(headers, body) => {
                 bump(&account.served);
                 served(headers, body)
             }
-            Ok(Answer::Refused(wait)) => {
+            Answer::Refused(wait) => {
                 bump(&account.refused);
                 self.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", wait)
             }
-            Ok(Answer::Failed) => {
+            Answer::Failed => {
                 bump(&account.failed);
                 plain(StatusCode::BAD_GATEWAY, "failed\n")
             }
-            Ok(Answer::Late) | Err(_) => {
+            Answer::Late => {
                 bump(&account.failed);
                 plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
             }
@@ -314,15 +339,20 @@
 /// A request that waits for its answer. The connection's future drops it when the client goes.
 struct Waiting<'a> {
     service: &'a Rc<Service>,
-    id: u64,
+    /// Its number in the pool, once it was asked.
+    id: Cell<Option<u64>>,
     txn: String,
 }
 
 impl<'a> Waiting<'a> {
     /// `None` where the client's name for it is taken.
-    fn new(service: &'a Rc<Service>, id: u64, txn: String) -> Option<Self> {
+    fn new(service: &'a Rc<Service>, txn: String) -> Option<Self> {
         let new = service.account.open.borrow_mut().insert(txn.clone());
-        new.then(|| Waiting { service, id, txn })
+        new.then(|| Waiting { service, id: Cell::new(None), txn })
+    }
+
+    fn asked(&self, id: u64) {
+        self.id.set(Some(id));
     }
 }
 
@@ -330,7 +360,9 @@
     fn drop(&mut self) {
         self.service.account.open.borrow_mut().remove(&self.txn);
         // For one that was answered the driver has forgotten the id, or knows it as ended.
-        let _ = self.service.tx.send(Msg::Gone(self.id));
+        if let Some(id) = self.id.get() {
+            let _ = self.service.tx.send(Msg::Gone(id));
+        }
     }
 }
 
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -7,11 +7,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use hyper::header::HeaderName;
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
+use woodgap_admission::gate::Settings;
 use woodgap_membership::Bounds;
 use woodgap_zookeeper::is_path;
-use woodgap_zookeeper::session::{Settings, MOST_ADDRESSES};
+use woodgap_zookeeper::session::{Settings as SessionSettings, MOST_ADDRESSES};
 
 /// Listeners, at most.
 pub const MOST_LISTENERS: usize = 64;
@@ -86,7 +88,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ZookeeperConfig {
     /// How it is reached, without the identity.
-    pub settings: Settings,
+    pub settings: SessionSettings,
     /// The file with the identity, `USER:PASSWORD`.
     pub digest_file: Option<PathBuf>,
     /// The path beneath which tenants' servers register.
@@ -104,7 +106,7 @@
     ///
     /// # Errors
     /// Where its file cannot be read, can be read by others, or holds no identity.
-    pub fn settings(&self) -> Result<Settings, String> {
+    pub fn settings(&self) -> Result<SessionSettings, String> {
         use std::os::unix::fs::MetadataExt;
         let Some(path) = &self.digest_file else { return Ok(self.settings.clone()) };
         let at = path.display();
@@ -119,10 +121,31 @@
         if !whole || digest.contains(['\n', '\r']) {
             return Err(format!("zookeeper.digest_file {at}: write USER:PASSWORD on one line"));
         }
-        Ok(Settings { digest: Some(digest.to_owned()), ..self.settings.clone() })
+        Ok(SessionSettings { digest: Some(digest.to_owned()), ..self.settings.clone() })
     }
 }
 
+/// Fair queues at the pools' doors.
+#[derive(Clone, Debug)]
+pub struct AdmissionConfig {
+    /// The header whose value is a client's key; the request's own key where it has none.
+    pub key: HeaderName,
+    /// How each pool's gate is made.
+    pub settings: Settings,
+}
+
+impl PartialEq for AdmissionConfig {
+    fn eq(&self, other: &Self) -> bool {
+        let of = |one: &Self| {
+            let settings = one.settings;
+            (settings.waiting, settings.longest_wait, settings.longest_hint)
+        };
+        (&self.key, of(self)) == (&other.key, of(other))
+    }
+}
+
+impl Eq for AdmissionConfig {}
+
 /// All that a hosted node is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostedConfig {
@@ -150,6 +173,8 @@
     pub zookeeper: Option<ZookeeperConfig>,
     /// The file of the authorities that servers with HTTP/3 are trusted by, if there is one.
     pub authorities: Option<PathBuf>,
+    /// Fair queues at the pools' doors, if there are any.
+    pub admission: Option<AdmissionConfig>,
 }
 
 /// Holds the descriptors that a node is to use against those that the system lets it have.
@@ -384,6 +409,25 @@
             }
             None => None,
         };
+        let mut admission = None;
+        if let Some(mut section) = reader.section(top, "admission") {
+            let key = reader.value(&mut section, "key", "the name of a header: \"x-club\"", |value| {
+                HeaderName::from_bytes(value.as_str()?.as_bytes()).ok()
+            });
+            let key = reader.required(&section, "key", key);
+            let usual = Settings::default();
+            let waiting = reader.whole(&mut section, "waiting", 1..1_048_577);
+            let wait = reader.whole(&mut section, "longest_wait_ms", 1..120_001);
+            let hint = reader.whole(&mut section, "longest_hint_ms", 1..3_600_001);
+            let settings = Settings {
+                waiting: waiting.map_or(usual.waiting, |n| n as u32),
+                longest_wait: wait.map_or(usual.longest_wait, |ms| ms * 1_000),
+                longest_hint: hint.map_or(usual.longest_hint, |ms| ms * 1_000),
+                ..usual
+            };
+            admission = key.map(|key| AdmissionConfig { key, settings });
+            reader.done(section);
+        }
         let mut authorities = None;
         if let Some(mut section) = reader.section(top, "upstream") {
             let file = reader.text(&mut section, "authorities", "the file of certificates to trust, PEM");
@@ -404,6 +448,7 @@
             admin,
             zookeeper,
             authorities,
+            admission,
         })
     }
 
@@ -514,7 +559,7 @@
             Some(RegisterConfig { path: path?, address })
         });
         Some(ZookeeperConfig {
-            settings: Settings {
+            settings: SessionSettings {
                 addresses: addresses?,
                 chroot: chroot.unwrap_or_default(),
                 digest: None,
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -32,6 +32,7 @@
 use crate::front::{Directory, Seat, Turned, NO_TENANT};
 use crate::meter::{metered, Core, Meter};
 use crate::pool::driver::{Driver, Look, Msg};
+use crate::pool::gated::Gated;
 use crate::pool::{Account, Counted, Service};
 use crate::sockets::Sockets;
 use crate::sources::discovery::List;
@@ -89,6 +90,8 @@
     quota: RefCell<Option<Quota>>,
     /// The pool that takes requests, made with the first one.
     service: Option<Rc<Service>>,
+    /// The gates of its pools, while something is at them.
+    gates: Vec<Weak<Gated>>,
     /// To every pool of the tenant that has not ended.
     pools: Vec<mpsc::WeakUnboundedSender<Msg>>,
     /// Counts the pool's time on the core.
@@ -249,6 +252,7 @@
                 account: Rc::new(Account { uid, ..Account::default() }),
                 quota: RefCell::new(Quota::new(view.spec.quota_per_s, self.bounds.nodes)),
                 service: None,
+                gates: Vec::new(),
                 pools: Vec::new(),
                 meter: None,
                 drivers: Rc::default(),
@@ -275,6 +279,7 @@
         if !active {
             entry.account.closed.set(true);
             entry.service = None;
+            entry.gates.iter().filter_map(Weak::upgrade).for_each(|gate| gate.end());
             self.live.borrow_mut().insert(uid);
             if let Some(clients) = self.clients.borrow().upgrade() {
                 clients.close_of(uid);
@@ -439,8 +444,15 @@
         entry.pools.push(tx.downgrade());
         entry.meter = Some(pool_meter);
         let account = entry.account.clone();
-        let service =
-            Rc::new(Service { settings, names, orgs: false, tx, account, weight: Cell::new(weight) });
+        let gate = self.bounds.admission.as_ref().map(|admission| {
+            let seed = self.seeds.borrow_mut().u64(..);
+            let settings = woodgap_admission::gate::Settings { seed, ..admission.settings };
+            (Gated::new(settings, spec.classes.len()), admission.key.clone())
+        });
+        entry.gates.retain(|gate| gate.strong_count() > 0);
+        entry.gates.extend(gate.iter().map(|(gate, _)| Rc::downgrade(gate)));
+        let weight = Cell::new(weight);
+        let service = Rc::new(Service { settings, names, orgs: false, tx, account, weight, gate });
         entry.service = Some(service.clone());
         self.live.borrow_mut().insert(uid);
         service
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -66,6 +66,8 @@
     pub seed: u64,
     /// Whom servers with HTTP/3 that are known by name are trusted by.
     pub authorities: Arc<Authorities>,
+    /// How pools' gates are made, where they have them.
+    pub admission: Option<config::AdmissionConfig>,
 }
 
 /// What the data thread is told.
@@ -207,6 +209,7 @@
         pool_idle: config.pool_idle,
         seed: config.seed,
         authorities: authorities.clone(),
+        admission: config.admission.clone(),
     };
     let sockets = Sockets::new(all);
     let (drained, gone) = mpsc::unbounded_channel();
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -49,7 +49,16 @@
 impl Single {
     fn new(settings: Settings, names: Names, open_cap: usize, tx: mpsc::UnboundedSender<Msg>) -> Rc<Self> {
         let account = Rc::new(Account::default());
-        let service = Service { settings, names, orgs: true, tx, account, weight: 1.into() };
+        let service = Service {
+            settings,
+            names,
+            orgs: true,
+            tx,
+            account,
+            weight: 1.into(),
+            #[cfg(feature = "hosted")]
+            gate: None,
+        };
         Rc::new(Single { service: Rc::new(service), open_cap })
     }
 }
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -13,6 +13,8 @@
 //! module and its connections go with it; nothing has to be told.
 
 pub mod driver;
+#[cfg(feature = "hosted")]
+pub mod gated;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -60,6 +62,9 @@
     pub account: Rc<Account>,
     /// Its weight against other tenants.
     pub weight: Cell<u32>,
+    /// Its gate, where there is one, and the header that its keys come from.
+    #[cfg(feature = "hosted")]
+    pub gate: Option<(Rc<gated::Gated>, hyper::header::HeaderName)>,
 }
 
 /// One more in a cell, until dropped.
--- a/crates/node/tests/suite.rs
+++ b/crates/node/tests/suite.rs
@@ -491,8 +491,10 @@
     let place = place(way).await;
     let (admin, door) = (&place.site.admin, place.door());
     let (one, other) = (place.server(Does::Hold).await.unwrap(), place.server(Does::Hold).await.unwrap());
-    place.tenant("acme", &spec(20_000), &[&one, &other]).await.unwrap();
-    let asked = asks(&door, (0..6).map(|n| Ask::renew("acme", format!("r{n}")).within(LONG)));
+    // Longer than this test waits: nothing ends by its deadline.
+    place.tenant("acme", &spec(100_000), &[&one, &other]).await.unwrap();
+    let wait = 3 * PATIENCE;
+    let asked = asks(&door, (0..6).map(|n| Ask::renew("acme", format!("r{n}")).within(wait)));
     until("they run", || async { one.requests() + other.requests() == 6 }).await;
     asked.iter().for_each(|task| task.abort());
     until("their places are free", || async { figure(admin, "acme", "held").await == 0 }).await;
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -98,6 +98,7 @@
             admin: Some(AdminConfig { listen: any, token_file, connections: 32 }),
             zookeeper: None,
             authorities: None,
+            admission: None,
         };
         change(&mut config);
         let store = store(&config);
