--- a/crates/node/tests/suite.rs
+++ b/crates/node/tests/suite.rs
@@ -415,14 +415,18 @@
     place.tenant("acme", &slow, &[&server]).await.unwrap();
     let mut client = place.door().connect().await.unwrap();
     let (mut served, mut wait) = (0, None);
-    for n in 0..20 {
+    for n in 0..1_000 {
         let answer = client.ask(&Ask::lookup("acme", format!("x{n}"))).await.unwrap();
         match answer.status.as_u16() {
             200 => served += 1,
-            429 => wait = answer.retry_after(),
+            429 => {
+                wait = answer.retry_after();
+                break;
+            }
             other => panic!("{other}"),
         }
     }
+    // Two may come at once after a quiet time.
     assert!(served >= 2, "{served}");
     let wait = wait.expect("advice");
     assert!(wait > 0.0 && wait <= 0.1, "{wait}");
