--- a/crates/testkit/src/outcomes.rs
+++ b/crates/testkit/src/outcomes.rs
@@ -1,5 +1,5 @@
 //! What becomes of one request where the server that its key belongs to fails in one way and another serves: the
-//! same over every [`Way`], or there is a fault in one of them.
+//! same over every [`Way`](crate::way::Way), or there is a fault in one of them.
 
 use std::io;
 use std::time::Duration;
