Free the place of a request whose client goes as it is let go

Reason: read again, the gate lost a place of its room for good where a client went between its ruling and the turn in which it would hear of it; enough of them close a pool's door. Change: what waits looks for its ruling as it is dropped. Measured: the new test fails without this, and without the word to the gate that one that waits has gone; 41 unit tests and the four of admission pass.

--- a/crates/node/src/pool/gated.rs
+++ b/crates/node/src/pool/gated.rs
@@ -62,6 +62,8 @@
     gated: &'a Gated,
     id: u64,
     out: Cell<Option<Instant>>,
+    /// While it waits: what tells it of its ruling.
+    ruling: Option<oneshot::Receiver<Let>>,
 }
 
 impl Stays<'_> {
@@ -79,6 +81,10 @@
         if self.gated.waiting.borrow_mut().remove(&self.id).is_some() {
             self.gated.gate.borrow_mut().gone(self.id);
         }
+        // Let go in the moment in which its client went: its place is free again.
+        if let Some(Ok(Let::In)) = self.ruling.as_mut().map(oneshot::Receiver::try_recv) {
+            self.out.set(Some(Instant::now()));
+        }
         self.ends(Ended::Otherwise);
     }
 }
@@ -159,7 +165,7 @@
                 return Through::Refused(None);
             }
             let id = self.next.replace(self.next.get() + 1);
-            let stays = Stays { gated: self, id, out: Cell::new(None) };
+            let mut stays = Stays { gated: self, id, out: Cell::new(None), ruling: None };
             let now = self.now();
             let left = deadline.saturating_duration_since(Instant::now()).as_micros() as u64;
             let work = self.work.borrow().get(class).copied().unwrap_or(10_000.0) as u64;
@@ -174,7 +180,9 @@
                     let (tx, rx) = oneshot::channel();
                     self.waiting.borrow_mut().insert(id, tx);
                     self.held.notify_one();
-                    match rx.await {
+                    let ruling = stays.ruling.insert(rx).await;
+                    stays.ruling = None;
+                    match ruling {
                         Ok(Let::In) => {}
                         Ok(Let::Go(wait)) => return Through::Refused(wait),
                         Err(_) => return Through::Refused(None),
@@ -207,3 +215,42 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::task::Poll;
+
+    async fn once(future: &mut (impl Future + Unpin)) {
+        std::future::poll_fn(|cx| {
+            let _ = std::pin::Pin::new(&mut *future).poll(cx);
+            Poll::Ready(())
+        })
+        .await;
+    }
+
+    // A client goes in the moment in which its request is let go, or while it waits: the room is not smaller for it.
+    #[tokio::test]
+    async fn a_place_is_free_again_however_its_client_goes() {
+        let run = async {
+            let gated = Gated::new(Settings { most_out: 1, ..Settings::default() }, 1);
+            let deadline = Instant::now() + Duration::from_secs(60);
+            let never = || std::future::pending::<Answer>();
+            let mut first = Box::pin(gated.through(1, 0, deadline, never));
+            let mut second = Box::pin(gated.through(2, 0, deadline, never));
+            let mut third = Box::pin(gated.through(3, 0, deadline, never));
+            once(&mut first).await;
+            once(&mut second).await;
+            once(&mut third).await;
+            assert_eq!((gated.gate.borrow().room().out(), gated.gate.borrow().waiting()), (1, 2));
+            drop(third);
+            assert_eq!((gated.gate.borrow().room().out(), gated.gate.borrow().waiting()), (1, 1));
+            // The second is let go here, and never hears of it.
+            drop(first);
+            assert_eq!((gated.gate.borrow().room().out(), gated.gate.borrow().waiting()), (1, 0));
+            drop(second);
+            assert_eq!(gated.gate.borrow().room().out(), 0);
+        };
+        tokio::task::LocalSet::new().run_until(run).await;
+    }
+}
