Keep idle connections within a node's part of what a server takes from all

Ruled out: the dial itself (no dial fails or times out; the connection comes up and is closed, as a server does whose table is full), descriptors (82 of 608), memory, the pace of any one node (12 requests a second).

The lines: `let many = group_size > LINK_KEEPERS && held >= handshake_price` in `Balancer::observe`. It weighs a handshake against the price of holding a connection as the settings give it (0 here against 0.08), so nodes kept every connection for 18 s; what a kept one costs is the newcomer that gets none, in no setting. LINKS_SHORT then closed only what that very attempt had used.

Now a node keeps its part of 16 idle connections at a server of size 1 over all nodes: it gives one up after part / pace without use, its own pace, so nodes with several times the mean traffic keep no more. Where the part is small a use again is unlikely and the rest shrinks with it, less where handshakes are dear; while attempts get no connection it shrinks to nothing. Each counts from its own last use: no two nodes close together. No group size is a threshold any more.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -93,10 +93,13 @@
 /// A cold server may be sent this part of what topples it, by what the fleet serves for its size
 /// and warmth. It remembers no key yet, so it does less than that.
 const COLD_CARE: f64 = 0.45;
-/// A group up to this size always keeps its idle connections, and any group closes them while more
-/// than this part of the attempts get no connection: servers accept a limited number.
-const LINK_KEEPERS: u32 = 24;
+/// Connections that all nodes together may keep idle at a server of size 1, by what they expect of its pace;
+/// none while this part of the attempts gets no connection. A server takes a number that nobody tells, and
+/// each one that is kept costs it capacity. More saves handshakes and shuts out whoever keeps none.
+const LINKS_KEPT: f64 = 16.0;
 const LINKS_SHORT: f64 = 0.02;
+/// The price of a handshake at which a use again is wanted as much as if it were twice as likely.
+const LINK_PRICE: f64 = 0.01;
 
 /// When a refused client ought to come back. Longer eases an overload and costs those who would have
 /// been served sooner.
@@ -185,6 +188,8 @@
     util: Option<f64>,
     /// How it does with each class: a bad release may fail one and serve the others.
     health: Vec<Health>,
+    /// Since when the connections that may be kept to it are idle.
+    linked: Option<Micros>,
 }
 
 /// How a server does with the requests of a class.
@@ -885,14 +890,10 @@
         if answered || full {
             server.reinstate();
         }
-        // Every node comes to hold a connection to each server. Kept where a new one costs more.
-        let held = f64::from(self.settings.group_size) / 100.0 * self.settings.connection_price;
-        let many = self.settings.group_size > LINK_KEEPERS && held >= self.settings.handshake_price;
         let unlinked = f64::from(u8::from(closed.outcome == Outcome::ConnectFailed));
         self.mood.unlinked += 0.03 * (unlinked - self.mood.unlinked);
-        if server.inflight == 0 && (many || self.mood.unlinked > LINKS_SHORT) {
-            out.push(Action::CloseIdle(closed.server));
-        }
+        self.servers[i].linked = Some(self.now);
+        self.close_rested(i, SWEEP, out);
         // Errors, resets and time-outs are one kind of symptom. Where the whole fleet shows it, moving
         // requests on helps nobody, so only what stands out is ejected. No connection to a server that
         // holds nothing of ours is proof by itself; so is any failure of a trial.
@@ -917,6 +918,31 @@
         }
     }
 
+    /// How long connections that nothing is on are kept. Left alone every node comes to keep one to each
+    /// server, and where there are more nodes than a server takes connections, most get none. A node may
+    /// keep its part of what all may, which at its pace it does by giving one up after `part / pace`. A part
+    /// of one makes a use again before that likely; below, what is kept mostly stands in others' way, so the
+    /// less likely the shorter, unless handshakes are dear.
+    fn link_rest(&self) -> Micros {
+        let group = f64::from(self.settings.group_size);
+        let size = self.size_total / self.servers.len().max(1) as f64;
+        let part = LINKS_KEPT * (1.0 - self.mood.unlinked / LINKS_SHORT).max(0.0) * size / group;
+        let dear = self.settings.handshake_price - group / 100.0 * self.settings.connection_price;
+        let worth = (part * (1.0 + dear / LINK_PRICE).max(0.0)).min(1.0);
+        let pace = self.mood.sends / self.window / self.servers.len().max(1) as f64;
+        (worth * part / pace.max(1e-6) * 1e6) as Micros
+    }
+
+    /// Closes the connections to a server that nothing is on, if by `ahead` from now they have rested.
+    fn close_rested(&mut self, i: usize, ahead: Micros, out: &mut Vec<Action>) {
+        let rest = self.link_rest();
+        let server = &mut self.servers[i];
+        if server.inflight == 0 && server.linked.is_some_and(|since| since + rest <= self.now + ahead) {
+            server.linked = None;
+            out.push(Action::CloseIdle(server.member.server));
+        }
+    }
+
     /// Counts an answer for its class; whether the server is passed by for that class from now on.
     fn observe_class(&mut self, i: usize, class: usize, error: bool) -> bool {
         let norm = &mut self.norms[class];
@@ -987,6 +1013,8 @@
             if !server.ready {
                 continue;
             }
+            self.close_rested(i, 0, out);
+            let server = &self.servers[i];
             let (size, warmth) = (server.member.size, self.warmth(server));
             let gain = pace * size * warmth;
             total += size;
@@ -1109,6 +1137,7 @@
             turned: 0.0,
             util: None,
             health: Vec::new(),
+            linked: None,
         }
     }
 
