--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -96,7 +96,7 @@
 /// Connections that all nodes together may keep idle at a server of size 1, by what they expect of its pace;
 /// none while this part of the attempts gets no connection. A server takes a number that nobody tells, and
 /// each one that is kept costs it capacity. More saves handshakes and shuts out whoever keeps none.
-const LINKS_KEPT: f64 = 16.0;
+const LINKS_KEPT: f64 = 8.0;
 const LINKS_SHORT: f64 = 0.02;
 /// The price of a handshake at which a use again is wanted as much as if it were twice as likely.
 const LINK_PRICE: f64 = 0.01;
