Tell a program built for the platform from a hosted one, and say how to build it

Cause: both builds write target/release/woodgap, and a proof started whatever lay there. After the deploy file's own build `proof -- tenants` ended with "BALANCER_CONFIG is not set", since the platform's program looks at no argument.

A proof asks before it starts the program and says what to build; the platform's program refuses arguments with the same words, and both say what BALANCER_CONFIG is for.

And a test over loopback of the bound on idle connections: 12 nodes of a group of 3,000 before a server that takes four connections. With the module before the bound it ends with "the server has room" not come true.

--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -14,7 +14,8 @@
 
 /// An HTTP load balancer. Without a command it is the platform's node, told by BALANCER_CONFIG.
 #[derive(Parser)]
-#[command(name = "woodgap", version)]
+// The word tells it from the program that the platform builds: see `platform::run`.
+#[command(name = "woodgap", version = concat!(env!("CARGO_PKG_VERSION"), " (hosted)"))]
 struct Line {
     #[command(subcommand)]
     command: Option<Command>,
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -147,9 +147,33 @@
     Ok(std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?)
 }
 
+/// What the program without many tenants calls itself; the other one is `hosted`. Proofs tell them apart by it.
+const VERSION: &str = concat!("woodgap ", env!("CARGO_PKG_VERSION"), " (platform)");
+
+/// Whether the arguments of a program that has the platform's node alone ask for that: `false` for its version.
+fn asked(args: &[String]) -> Result<bool, String> {
+    match args {
+        [] => Ok(true),
+        [only] if only == "--version" || only == "-V" => Ok(false),
+        [first, ..] => Err(format!(
+            "'{first}' needs what many tenants need, and this program was built without it (feature `hosted`), as \
+            the platform wants it: build it anew by `cargo build --release -p woodgap`. Without arguments it is the \
+            platform's node, told by BALANCER_CONFIG"
+        )),
+    }
+}
+
 /// Runs the platform's node as a program that has nothing else.
 pub fn run() -> std::process::ExitCode {
-    match start() {
+    let args: Vec<String> = std::env::args_os().skip(1).map(|arg| arg.to_string_lossy().into()).collect();
+    let done = asked(&args).map_err(Into::into).and_then(|node| match node {
+        true => start(),
+        false => {
+            println!("{VERSION}");
+            Ok(())
+        }
+    });
+    match done {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("woodgap: {error}");
@@ -166,8 +190,26 @@
     let env: std::collections::HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
-    let path = env.get("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
+    let path = env.get("BALANCER_CONFIG").ok_or(
+        "BALANCER_CONFIG is not set: it names the configuration of the platform's node (a hosted one is started by \
+        `woodgap serve --config FILE`)",
+    )?;
     let config = Config::read(&read(path)?, &env)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(serve(config, path.clone())))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // A proof started what lay there, and read "BALANCER_CONFIG is not set".
+    #[test]
+    fn a_program_without_many_tenants_says_so() {
+        let args = |line: &str| line.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
+        assert_eq!(asked(&[]), Ok(true));
+        assert_eq!(asked(&args("--version")), Ok(false));
+        let said = asked(&args("serve --config x.toml")).unwrap_err();
+        assert!(said.contains("'serve'") && said.contains("cargo build --release -p woodgap`"), "{said}");
+    }
+}
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -78,12 +79,22 @@
     Closed,
 }
 
-fn server(number: usize, does: Arc<Mutex<Does>>, seen: Sender<Seen>) -> SocketAddr {
+/// Connections: how many a server takes, and how many are open. A further one is closed as it comes.
+struct Room {
+    takes: AtomicUsize,
+    open: AtomicUsize,
+}
+
+fn server(number: usize, does: Arc<Mutex<Does>>, room: Arc<Room>, seen: Sender<Seen>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (does, seen) = (does.clone(), seen.clone());
+            if room.open.load(Ordering::SeqCst) >= room.takes.load(Ordering::SeqCst) {
+                continue;
+            }
+            room.open.fetch_add(1, Ordering::SeqCst);
+            let (does, room, seen) = (does.clone(), room.clone(), seen.clone());
             thread::spawn(move || {
                 let mut input = BufReader::new(stream.try_clone().unwrap());
                 let mut output = stream;
@@ -111,7 +122,7 @@
                         Does::Raw(text, times) => text.repeat(times),
                         Does::Answer(head) => format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
                         Does::BreakHalfway => "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nabc".to_owned(),
-                        Does::Break => return,
+                        Does::Break => break,
                         Does::Hang | Does::Hold => continue,
                     };
                     let _ = output.write_all(reply.as_bytes());
@@ -120,6 +131,7 @@
                     }
                 }
                 drop((input, output));
+                room.open.fetch_sub(1, Ordering::SeqCst);
                 let _ = seen.send(Seen::Closed);
             });
         }
@@ -149,24 +161,64 @@
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).unwrap();
 }
 
-struct Site {
-    node: Child,
+/// The node's process.
+struct Node {
+    child: Child,
     addr: SocketAddr,
-    does: Vec<Arc<Mutex<Does>>>,
-    members: Vec<Value>,
-    seen: Receiver<Seen>,
-    watches: Receiver<(Message, TcpStream)>,
-    config: Value,
     file: tempfile::NamedTempFile,
 }
 
-impl Drop for Site {
+impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.node.kill();
-        let _ = self.node.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Node {
+    fn start(config: &Value) -> Node {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(config.to_string().as_bytes()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_woodgap"))
+            .env_clear()
+            .env("BALANCER_CONFIG", file.path())
+            .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let addr = log
+            .by_ref()
+            .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
+            .unwrap();
+        thread::spawn(move || log.for_each(drop));
+        Node { child, addr, file }
+    }
+
+    fn dial(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Sends text as it is, on a connection of its own; the answer.
+    fn raw(&self, text: &[u8]) -> Message {
+        let mut stream = self.dial();
+        stream.write_all(text).unwrap();
+        Message::read(&mut BufReader::new(stream)).expect("an answer")
     }
 }
 
+struct Site {
+    node: Node,
+    does: Vec<Arc<Mutex<Does>>>,
+    members: Vec<Value>,
+    seen: Receiver<Seen>,
+    watches: Receiver<(Message, TcpStream)>,
+    config: Value,
+    room: Arc<Room>,
+}
+
 impl Site {
     fn new(servers: usize) -> Site {
         Site::with(servers, json!({"sockets": 256}))
@@ -179,12 +231,13 @@
     /// With the settings changed.
     fn configured(servers: usize, limits: Value, change: impl Fn(&mut Value)) -> Site {
         let (tx, seen) = channel();
+        let room = Arc::new(Room { takes: AtomicUsize::new(usize::MAX), open: AtomicUsize::new(0) });
         let does: Vec<_> = (0..servers).map(|_| Arc::new(Mutex::new(Does::Serve))).collect();
         let members: Vec<Value> = does
             .iter()
             .enumerate()
             .map(|(i, does)| {
-                let addr = server(i, does.clone(), tx.clone());
+                let addr = server(i, does.clone(), room.clone(), tx.clone());
                 json!({"id": format!("s-{i}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
                     "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
             })
@@ -209,22 +262,7 @@
             },
         });
         change(&mut config["settings"]);
-        let mut file = tempfile::NamedTempFile::new().unwrap();
-        file.write_all(config.to_string().as_bytes()).unwrap();
-        let mut node = Command::new(env!("CARGO_BIN_EXE_woodgap"))
-            .env_clear()
-            .env("BALANCER_CONFIG", file.path())
-            .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(node.stderr.take().unwrap()).lines();
-        let addr = log
-            .by_ref()
-            .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
-            .unwrap();
-        thread::spawn(move || log.for_each(drop));
-        Site { node, addr, does, members, seen, watches, config, file }
+        Site { node: Node::start(&config), does, members, seen, watches, config, room }
     }
 
     fn all_do(&self, what: Does) {
@@ -232,16 +270,11 @@
     }
 
     fn dial(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream
+        self.node.dial()
     }
 
-    /// Sends text as it is, on a connection of its own; the answer.
     fn raw(&self, text: &[u8]) -> Message {
-        let mut stream = self.dial();
-        stream.write_all(text).unwrap();
-        Message::read(&mut BufReader::new(stream)).expect("an answer")
+        self.node.raw(text)
     }
 
     fn ask(&self, class: &str, id: &str) -> Message {
@@ -269,13 +302,13 @@
     }
 
     fn signal(&self, name: &str) {
-        let pid = self.node.id().to_string();
+        let pid = self.node.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
     /// Replaces the configuration and says so.
     fn reload(&self, text: &str) {
-        std::fs::write(self.file.path(), text).unwrap();
+        std::fs::write(self.node.file.path(), text).unwrap();
         self.signal("-HUP");
     }
 
@@ -324,6 +357,21 @@
     assert!((1..60_000).contains(&request.header("x-remaining-ms").parse::<u64>().unwrap()));
 }
 
+// Seen in a group of 300: each node kept a connection to each server, which took 54, and most nodes got none.
+#[test]
+fn nodes_of_a_large_group_leave_a_server_room() {
+    let site = Site::configured(1, json!({"sockets": 64}), |settings| {
+        settings["group-size"] = json!(3_000);
+        settings["deductions"] = json!({"handshake": 0.08});
+    });
+    site.room.takes.store(4, Ordering::SeqCst);
+    let nodes: Vec<Node> = (0..12).map(|_| Node::start(&site.config)).collect();
+    for (n, node) in nodes.iter().enumerate() {
+        until("the server has room", || site.room.open.load(Ordering::SeqCst) < 4);
+        assert_eq!(node.raw(&request("pay", &format!("t{n}"), 60_000)).status(), 200, "node {n}");
+    }
+}
+
 #[test]
 fn connections_are_reused_on_both_sides() {
     let site = Site::new(1);
@@ -726,14 +774,14 @@
     let mut new = site.dial();
     new.write_all(&request("pay", "10", 60_000)).unwrap();
     assert!(matches!(site.seen.recv_timeout(PATIENCE), Ok(Seen::Request(..))));
-    assert!(site.node.try_wait().unwrap().is_none());
+    assert!(site.node.child.try_wait().unwrap().is_none());
     site.all_do(Does::Serve);
     for (stream, id) in [(busy, "9"), (new, "10")] {
         let answer = Message::read(&mut BufReader::new(stream)).expect("an answer");
         assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
         assert_eq!(answer.body, id.as_bytes());
     }
-    assert!(site.node.wait().unwrap().success());
+    assert!(site.node.child.wait().unwrap().success());
 }
 
 // A node that ended on SIGHUP would lose all that it holds; one that kept to the old discovery, or
@@ -765,5 +813,5 @@
     }
     site.signal("-TERM");
     site.signal("-HUP");
-    assert!(site.node.wait().unwrap().success());
+    assert!(site.node.child.wait().unwrap().success());
 }
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -23,12 +23,27 @@
     }
 }
 
-/// The program beside this one.
+/// The program beside this one, which must serve many tenants.
+///
+/// # Errors
+/// Where it is missing, or was built for the platform alone: the deploy file's `build` writes to the same place.
 pub fn program() -> Result<PathBuf, Box<dyn Error>> {
-    let path = std::env::current_exe()?.with_file_name("woodgap");
-    match path.exists() {
+    hosted(std::env::current_exe()?.with_file_name("woodgap"))
+}
+
+fn hosted(path: PathBuf) -> Result<PathBuf, Box<dyn Error>> {
+    let build = "build it by `cargo build --release -p woodgap` and start the proof again";
+    if !path.exists() {
+        return Err(format!("{} is missing: {build}", path.display()).into());
+    }
+    let said = Command::new(&path).arg("--version").stdin(Stdio::null()).output()?;
+    let version = String::from_utf8_lossy(&said.stdout).trim().to_owned();
+    match version.ends_with("(hosted)") {
         true => Ok(path),
-        false => Err(format!("{} is missing: cargo build --release -p woodgap", path.display()).into()),
+        false => {
+            let is = if version.is_empty() { "does not tell its version" } else { version.as_str() };
+            Err(format!("{} can't serve many tenants ({is}): {build}", path.display()).into())
+        }
     }
 }
 
@@ -86,3 +101,29 @@
         Ok(spent)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // What the deploy file's build leaves there ended every proof with "BALANCER_CONFIG is not set".
+    #[test]
+    fn the_platforms_program_is_not_taken_for_the_hosted_one() {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("woodgap");
+        assert!(hosted(path.clone()).unwrap_err().to_string().contains("missing"));
+        let mode: std::fs::Permissions = std::os::unix::fs::PermissionsExt::from_mode(0o755);
+        for (says, fits) in
+            [("woodgap 0.2.0 (hosted)", true), ("woodgap 0.2.0 (platform)", false), ("", false)]
+        {
+            std::fs::write(folder.path().join("new"), format!("#!/bin/sh\necho '{says}'\n")).unwrap();
+            std::fs::set_permissions(folder.path().join("new"), mode.clone()).unwrap();
+            std::fs::rename(folder.path().join("new"), &path).unwrap();
+            let found = hosted(path.clone());
+            assert_eq!(found.is_ok(), fits, "{says}: {found:?}");
+            assert!(
+                found.map_or_else(|e| e.to_string().contains("cargo build --release -p woodgap"), |_| true)
+            );
+        }
+    }
+}
