--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -94,10 +94,14 @@
 /// and warmth. It remembers no key yet, so it does less than that.
 const COLD_CARE: f64 = 0.45;
 /// Connections that all nodes together may keep idle at a server of size 1, by what they expect of its pace;
-/// none while this part of the attempts gets no connection. A server takes a number that nobody tells, and
-/// each one that is kept costs it capacity. More saves handshakes and shuts out whoever keeps none.
+/// fewer while this part of the attempts gets no connection, none at twice that. A server takes a number that
+/// nobody tells, and each one that is kept costs it capacity. More saves handshakes and shuts out whoever
+/// keeps none, who alone sees it: from this price of a handshake on, more are kept by the square of it, and
+/// never more than any server should take.
 const LINKS_KEPT: f64 = 8.0;
+const LINKS_MOST: f64 = 32.0;
 const LINKS_SHORT: f64 = 0.02;
+const LINKS_DEAR: f64 = 0.08;
 /// The price of a handshake at which a use again is wanted as much as if it were twice as likely.
 const LINK_PRICE: f64 = 0.01;
 
@@ -926,8 +930,9 @@
     fn link_rest(&self) -> Micros {
         let group = f64::from(self.settings.group_size);
         let size = self.size_total / self.servers.len().max(1) as f64;
-        let part = LINKS_KEPT * (1.0 - self.mood.unlinked / LINKS_SHORT).max(0.0) * size / group;
         let dear = self.settings.handshake_price - group / 100.0 * self.settings.connection_price;
+        let kept = (LINKS_KEPT * (dear / LINKS_DEAR).max(1.0).powi(2)).min(LINKS_MOST);
+        let part = kept * (2.0 - self.mood.unlinked / LINKS_SHORT).clamp(0.0, 1.0) * size / group;
         let worth = (part * (1.0 + dear / LINK_PRICE).max(0.0)).min(1.0);
         let pace = self.mood.sends / self.window / self.servers.len().max(1) as f64;
         (worth * part / pace.max(1e-6) * 1e6) as Micros
--- a/crates/decisions/tests/links.rs
+++ b/crates/decisions/tests/links.rs
@@ -79,7 +79,8 @@
 // Seen: 300 nodes each kept one to every server, 54 stood idle there, and three of four attempts got none.
 #[test]
 fn hundreds_of_nodes_leave_a_server_room() {
-    for price in [0.0, 0.08, 1.0] {
+    // However dear handshakes are: who keeps connections does not see that others get none.
+    for price in [0.0, 0.08, 0.3, 1.0] {
         let seen = minute(300, price);
         assert!(seen.requests > 600.0);
         assert!(seen.unlinked <= 0.002 * seen.requests, "{price}: {} of {}", seen.unlinked, seen.requests);
@@ -102,6 +103,11 @@
 #[test]
 fn dear_handshakes_are_saved() {
     let (cheap, dear) = (minute(60, 0.0), minute(60, 1.0));
-    assert!(dear.reused > 1.5 * cheap.reused, "{} and {}", dear.reused, cheap.reused);
+    assert!(
+        dear.reused > 0.3 * dear.requests && dear.reused > 4.0 * cheap.reused,
+        "{} and {}",
+        dear.reused,
+        cheap.reused
+    );
     assert!(dear.unlinked == 0.0);
 }
