Keep the ledger at the coordination service: a document that many change by versions

zookeeper::board reads a document, works a change out and writes it over the version that was read; where somebody was quicker, or an answer was lost, it reads and works it out again.

--- a/crates/zookeeper/src/lib.rs
+++ b/crates/zookeeper/src/lib.rs
@@ -7,6 +7,7 @@
 //!      │ Work::run, anew     │ Work::lost
 //!      ▼ with each           ▼
 //!   pool::Pool ── list, data, watches ─▶ view::View ── what is new ─▶ Told ─▶ woodgap_membership::Merge
+//!   board::Board ── one document that many change, by versions (permits)
 //!   register::Register ── this node's ephemeral node: there while wanted, gone when it drains
 //!   (the host's own: a store of the catalogue)
 //! ```
@@ -19,6 +20,7 @@
 //! Watches are one-shot and set by the reads that they belong to, so that no change falls between a read and
 //! its watch (ZooKeeper Programmer's Guide, "ZooKeeper Watches"). [`view`] and [`server`] are pure.
 
+pub mod board;
 pub mod pool;
 pub mod register;
 pub mod server;
