End nodes one after the other: [permits], asked for at SIGTERM

A node with [permits] joins a roster in the ledger, and at SIGTERM asks, serves on until it is granted (wait_s at most), begins by its fence, drains, and says that it left. Started again it returns, and is held. Who is in the roster and not registered counts as out; without the service, or past wait_s, a node goes as it did before and its log says who is out. Off without the section: no task, no watch. The platform's build has none of it.

--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -11,12 +11,14 @@
 use toml::Spanned;
 use woodgap_admission::gate::Settings;
 use woodgap_membership::Bounds;
+use woodgap_permits::Most;
 use woodgap_tenancy::spec::{
     AdmissionSpec, KeySource, LONGEST_HINT_MS, LONGEST_WAIT_MS, MOST_SOURCES, MOST_WAITING,
 };
 use woodgap_zookeeper::is_path;
 use woodgap_zookeeper::session::{Settings as SessionSettings, MOST_ADDRESSES};
 
+pub use crate::fleet::PermitsConfig;
 pub use crate::front::keys::Keys;
 
 /// Listeners, at most.
@@ -191,6 +193,8 @@
     pub zookeeper: Option<ZookeeperConfig>,
     /// The file of the authorities that servers with HTTP/3 are trusted by, if there is one.
     pub authorities: Option<PathBuf>,
+    /// Permits to be out, agreed with the other nodes, if there are any.
+    pub permits: Option<PermitsConfig>,
     /// Fair queues at the pools' doors, if there are any.
     pub admission: Option<AdmissionConfig>,
 }
@@ -449,6 +453,15 @@
             admission = keys.map(|keys| AdmissionConfig { keys, settings });
             reader.done(section);
         }
+        let registers = zookeeper.as_ref().is_some_and(|zookeeper| zookeeper.register.is_some());
+        let permits = match reader.section(top, "permits") {
+            Some(mut section) => {
+                let permits = Self::permits(reader, &mut section, registers);
+                reader.done(section);
+                permits
+            }
+            None => None,
+        };
         let mut authorities = None;
         if let Some(mut section) = reader.section(top, "upstream") {
             let file = reader.text(&mut section, "authorities", "the file of certificates to trust, PEM");
@@ -469,10 +482,54 @@
             admin,
             zookeeper,
             authorities,
+            permits,
             admission,
         })
     }
 
+    fn permits(
+        reader: &mut Reader<'_>,
+        section: &mut Section<'_, '_>,
+        registers: bool,
+    ) -> Option<PermitsConfig> {
+        if !registers {
+            let need =
+                "permits: nodes see one another by [zookeeper.register]: say there where they register";
+            reader.fault(section.span.clone(), need.to_owned());
+        }
+        let path = reader.path(section, "path", "a path of the service: \"/permits\"");
+        let path = reader.required(section, "path", path);
+        let zone = reader.text(section, "zone", "the zone of this node");
+        let right = "so many nodes (1), or a part of them (\"10%\")";
+        let most = |value: &DeValue<'_>| match value.as_str() {
+            Some(text) => text
+                .strip_suffix('%')?
+                .parse()
+                .ok()
+                .filter(|part| (1..=100).contains(part))
+                .map(Most::Percent),
+            None => {
+                let integer = value.as_integer()?;
+                u32::from_str_radix(integer.as_str(), integer.radix())
+                    .ok()
+                    .filter(|n| *n > 0)
+                    .map(Most::Count)
+            }
+        };
+        let most_out = reader.value(section, "most_out", right, most).unwrap_or(Most::Count(1));
+        let zone_most = reader.value(section, "zone_most_out", right, most);
+        if zone_most.is_some() && zone.is_none() {
+            reader.fault(section.span.clone(), "permits.zone_most_out: say the node's zone too".to_owned());
+        }
+        let least_up = reader.whole(section, "least_up", 0..100_001).unwrap_or(1) as u32;
+        let mut seconds =
+            |key, usual| reader.whole(section, key, 1..3_601).map_or(usual, Duration::from_secs);
+        let usual = PermitsConfig::new(path?, zone, most_out, zone_most, least_up);
+        let (hold, act) = (seconds("hold_s", usual.hold), seconds("act_s", usual.act));
+        let wait = seconds("wait_s", usual.wait);
+        Some(PermitsConfig { hold, act, wait, ..usual })
+    }
+
     fn listeners(reader: &mut Reader<'_>, top: &mut Section<'_, '_>, folder: &Path) -> Option<Vec<Listen>> {
         let Some(value) = top.get("listen") else {
             reader.fault(0..0, "[[listen]] is missing: it gives name and address of a listener".to_owned());
@@ -686,6 +743,24 @@
         );
         let lines: Vec<usize> = faults(&bad).iter().map(|fault| fault.0).collect();
         assert_eq!(lines, [4, 6, 8, 9, 10, 11, 12], "{:?}", faults(&bad));
+        let permits = |more: &str| {
+            format!(
+                "{head}[store]\npath = 'c'\n[zookeeper]\naddresses = ['zk1:2181']\n[zookeeper.register]\npath = '/nodes'\n\
+                [permits]\n{more}"
+            )
+        };
+        let text =
+            permits("path = '/permits'\nzone = 'a'\nzone_most_out = '25%'\nmost_out = 3\nhold_s = 5\n");
+        let read = HostedConfig::read(&text, Path::new("/etc")).unwrap().permits.unwrap();
+        assert_eq!(
+            (read.budgets.len(), read.budgets[0].most_out, read.hold.as_secs()),
+            (2, Most::Count(3), 5)
+        );
+        assert_eq!(read.budgets[1].most_out, Most::Percent(25));
+        let wrong = faults(&permits("path = 'x'\nmost_out = '0%'\nzone_most_out = 1\n"));
+        assert_eq!(wrong.len(), 3, "{wrong:?}");
+        let alone = faults(&format!("{head}[store]\npath = 'c'\n[permits]\npath = '/p'\n"));
+        assert!(alone[0].1.contains("[zookeeper.register]"), "{alone:?}");
         let nowhere = faults(&format!("{head}[store]\nzookeeper = '/catalogue'\n"));
         assert!(nowhere[0].1.contains("[zookeeper]"), "{nowhere:?}");
     }
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -34,6 +34,7 @@
 
 use crate::admin;
 use crate::control::{self, Control};
+use crate::fleet::Permits;
 use crate::front::clients::Clients;
 use crate::front::http1::Door;
 use crate::front::http3;
@@ -271,6 +272,13 @@
             }
         });
     }
+    let register = config.zookeeper.as_ref().and_then(|zookeeper| zookeeper.register.as_ref());
+    let permits = service.as_ref().zip(config.permits.clone()).zip(register);
+    let permits = permits.map(|((service, permits), register)| {
+        let permits = Permits::start(service, config.name.clone(), permits, register.path.clone());
+        spawn_local(permits.clone().keep());
+        permits
+    });
     ready(addresses);
     if let Some(service) = &service {
         spawn_local(tell_session(service.status()));
@@ -285,6 +293,13 @@
             tokio::time::sleep(LOAD).await;
         }
     };
+    // With permits on, a node that is to end serves until it may.
+    let stop = async {
+        stop.await;
+        if let Some(permits) = &permits {
+            permits.may_go().await;
+        }
+    };
     // Off the list first: whoever reads it sends no more.
     let leave = async {
         if let Some(registration) = &registration {
@@ -294,6 +309,9 @@
     tokio::select! {
         () = stop => {
             tokio::join!(clients.drain(), leave);
+            if let Some(permits) = &permits {
+                permits.left().await;
+            }
         }
         () = loads => {}
         _ = obey => return Err("the control thread ended".into()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! - `front` owns client connections; it knows the protocol, finds the tenant and asks for room.
 //! - `pool` owns one decision module and carries its actions out; `upstream` owns connections to servers.
 //! - [`hosted`] is many tenants in one node: its directory, and the control thread with catalogue and store.
+//! - [`fleet`] is this node as one of many: when it may be out.
 //! - [`store`] is where the catalogue lasts.
 //! - [`platform`] is the platform's node: one tenant, one pool, `BALANCER_CONFIG`.
 //!
@@ -28,6 +29,8 @@
 mod config;
 #[cfg(feature = "hosted")]
 mod control;
+#[cfg(feature = "hosted")]
+pub mod fleet;
 mod front;
 #[cfg(feature = "hosted")]
 pub mod hosted;
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -39,6 +39,8 @@
 pub const MOST_PERMITS: usize = 1_024;
 /// Budgets of a ledger, at most.
 pub const MOST_BUDGETS: usize = 64;
+/// Members of a fleet, at most.
+pub const MOST_MEMBERS: usize = 4_096;
 /// Bytes of a name or a reason, at most.
 pub const LONGEST_TEXT: usize = 128;
 /// What was ended by force or by time and is kept to be read, at most; the oldest goes.
@@ -156,6 +158,20 @@
 /// What may be done to a ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Command {
+    /// A member belongs to the fleet from now on, up or not, counted by these scopes.
+    Join {
+        /// Who.
+        holder: String,
+        /// What counts it beside the fleet.
+        scopes: BTreeSet<Scope>,
+    },
+    /// An operator takes a member out of the fleet for good.
+    Strike {
+        /// Who.
+        holder: String,
+        /// Why: kept.
+        reason: String,
+    },
     /// A member asks to be out.
     Ask {
         /// Who.
@@ -272,6 +288,9 @@
     /// Why nothing is granted, if that was said.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub frozen: Option<String>,
+    /// Who belongs to the fleet, and what counts it: who is silent is missed by this.
+    #[serde(default)]
+    pub roster: BTreeMap<String, BTreeSet<Scope>>,
     /// The last grant's number.
     pub fence: u64,
     /// In the order in which they were asked for.
@@ -297,6 +316,30 @@
         Ok(Ledger { budgets, hold_ms, act_ms, ..Ledger::default() })
     }
 
+    /// The fleet as the roster has it, where these are up.
+    pub fn scene(&self, now: Millis, up: &BTreeSet<String>) -> Scene {
+        let member = |(name, scopes): (&String, &BTreeSet<Scope>)| {
+            (name.clone(), Member { up: up.contains(name), scopes: scopes.clone() })
+        };
+        Scene { now, members: self.roster.iter().map(member).collect() }
+    }
+
+    /// What a member that is up and serves has to write about itself: that it belongs, that it is back, or that
+    /// what an earlier process of its name asked for is not wanted any more.
+    pub fn duty(&self, me: &str, scopes: &BTreeSet<Scope>, up: &BTreeSet<String>) -> Option<Command> {
+        if self.roster.get(me) != Some(scopes) {
+            return Some(Command::Join { holder: me.to_owned(), scopes: scopes.clone() });
+        }
+        match self.of(me)?.phase {
+            Phase::Asked | Phase::Granted => Some(Command::Cancel { holder: me.to_owned() }),
+            // Only once others see it: a return of one that is not up is out again.
+            Phase::Draining | Phase::Out => {
+                up.contains(me).then(|| Command::Return { holder: me.to_owned() })
+            }
+            Phase::Returning => None,
+        }
+    }
+
     /// The permit or ask of a member.
     pub fn of(&self, holder: &str) -> Option<&Permit> {
         self.permits.iter().find(|permit| permit.holder == holder)
@@ -308,6 +351,25 @@
     /// Why it is not done; the ledger is as it was.
     pub fn take(&mut self, scene: &Scene, command: Command) -> Result<(), Refusal> {
         match command {
+            Command::Join { holder, scopes } => {
+                if self.roster.len() >= MOST_MEMBERS && !self.roster.contains_key(&holder) {
+                    return Err(Refusal::Bound(format!("{MOST_MEMBERS} members: more are not taken")));
+                }
+                self.roster.insert(bounded(&holder)?, scopes);
+                Ok(())
+            }
+            Command::Strike { holder, reason } => {
+                let reason = bounded(&reason)?;
+                if self.of(&holder).is_some_and(|p| !matches!(p.phase, Phase::Asked | Phase::Granted)) {
+                    return Err(Refusal::Begun { holder });
+                }
+                if self.roster.remove(&holder).is_none() {
+                    return Err(Refusal::Stranger(holder));
+                }
+                self.permits.retain(|permit| permit.holder != holder);
+                self.keep(&holder, scene.now, format!("struck off: {reason}"));
+                Ok(())
+            }
             Command::Ask { holder, ask } => self.ask(scene, holder, ask),
             Command::Begin { holder, fence } => {
                 self.step(scene, holder, fence, Phase::Granted, Phase::Draining)
--- a/crates/permits/tests/ledger.rs
+++ b/crates/permits/tests/ledger.rs
@@ -192,6 +192,34 @@
     assert_eq!(kept, ["granted by force: disk on fire", "forgotten: scrapped"]);
 }
 
+// Who died without a word is missed by the roster, and who comes back under its name says what is left to say.
+#[test]
+fn the_roster_misses_who_is_silent() {
+    let (mut ledger, zones) = (ledger(), BTreeSet::from([zone("a")]));
+    let up = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<BTreeSet<String>>();
+    for name in ["a1", "a2", "a3"] {
+        let join = ledger.duty(name, &zones, &up(&[])).unwrap();
+        ledger.take(&Scene::default(), join).unwrap();
+        assert_eq!(ledger.duty(name, &zones, &up(&[])), None);
+    }
+    let hurt = ledger.scene(0, &up(&["a1", "a2"]));
+    assert_eq!(ledger.out(&hurt, &zone("a")), ["a3"]);
+    ledger.budgets.remove(0);
+    ledger.take(&hurt, ask("a1")).unwrap();
+    assert!(!ledger.settle(&hurt));
+    let whole = ledger.scene(0, &up(&["a1", "a2", "a3"]));
+    assert!(ledger.settle(&whole));
+    // Killed as it was granted, and started again: it goes by nothing that it has forgotten.
+    assert!(matches!(ledger.duty("a1", &zones, &up(&[])), Some(Command::Cancel { .. })));
+    ledger.take(&whole, Command::Begin { holder: "a1".into(), fence: 1 }).unwrap();
+    assert_eq!(ledger.duty("a1", &zones, &up(&["a2"])), None);
+    assert!(matches!(ledger.duty("a1", &zones, &up(&["a1"])), Some(Command::Return { .. })));
+    let strike = Command::Strike { holder: "a1".into(), reason: "sold".into() };
+    assert!(matches!(ledger.take(&whole, strike), Err(Refusal::Begun { .. })));
+    ledger.take(&whole, Command::Strike { holder: "a3".into(), reason: "sold".into() }).unwrap();
+    assert_eq!(ledger.roster.len(), 2);
+}
+
 #[test]
 fn a_ledger_is_read_as_it_was_written() {
     let mut ledger = ledger();
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -105,6 +105,7 @@
             zookeeper: None,
             authorities: None,
             admission: None,
+            permits: None,
         };
         change(&mut config);
         let store = store(&config);
--- a/crates/zookeeper/src/lib.rs
+++ b/crates/zookeeper/src/lib.rs
@@ -21,6 +21,7 @@
 //! its watch (ZooKeeper Programmer's Guide, "ZooKeeper Watches"). [`view`] and [`server`] are pure.
 
 pub mod board;
+pub mod names;
 pub mod pool;
 pub mod register;
 pub mod server;
