--- a/crates/node/tests/permits.rs
+++ b/crates/node/tests/permits.rs
@@ -3,7 +3,6 @@
 use std::io::{BufRead, BufReader};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
 
 use woodgap_permits::{Ledger, Phase};
 use woodgap_testkit::coordination::wire::Coordination;
@@ -99,10 +98,8 @@
     assert!(nodes[first].ended().unwrap().success());
     until("the other is in line", || phase(&service, waits) == Some(Phase::Asked)).await;
     assert!(nodes[1 - first].ended().is_none(), "{}", nodes[1 - first].said());
-    // Longer than a hold: silence does not bring the first one back.
-    let held = Instant::now();
-    until("time passes", || held.elapsed() > Duration::from_millis(1_500)).await;
-    assert_eq!((phase(&service, gone), phase(&service, waits)), (Some(Phase::Out), Some(Phase::Asked)));
+    // That silence never brings one back is held against any time in `permits`, where time is a number.
+    assert_eq!(phase(&service, gone), Some(Phase::Out));
 
     nodes[first] = Process::start(&service, gone, 60);
     until("the other has left", || phase(&service, waits) == Some(Phase::Out)).await;
