--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,7 +26,8 @@
 //!
 //! **Cut off.** Who hears nobody at all concludes that it is cut off itself: [`Standing::Isolated`], nobody is
 //! suspected or found dead, and what was known stays. A part of the fleet that hears one another but not the rest does
-//! find the rest dead; that bounds nothing, which is why permits are not agreed here.
+//! find the rest dead; that bounds nothing, which is why permits are not agreed here. After a sleep or a cut what is
+//! known may be old for a while: [`Standing::Catching`].
 //!
 //! **Loss.** What was not heard by telling is fetched: acknowledgements carry a digest of all that a node knows, and who
 //! reads another one than its own asks which of sixteen sections differ and pulls those page by page.
@@ -110,6 +111,8 @@
     Alone,
     /// It hears others.
     Together,
+    /// It slept or was cut off a moment ago: what it knows of others may be old.
+    Catching,
     /// It hears nobody of those whom it knows: it is cut off, or all of them are gone, which it can't tell.
     Isolated {
         /// Since when.
@@ -324,6 +327,7 @@
     reach_at: Millis,
     pull_at: Millis,
     namesake: u64,
+    catching: Millis,
     actions: VecDeque<Action>,
     counts: Counts,
 }
@@ -374,6 +378,7 @@
             reach_at: now,
             pull_at: now,
             namesake: 0,
+            catching: 0,
             actions: VecDeque::new(),
             counts: Counts::default(),
         };
@@ -415,6 +420,7 @@
         match self.isolated {
             Some(since) => Standing::Isolated { since },
             None if self.members.len() < 2 => Standing::Alone,
+            None if self.passed < self.catching => Standing::Catching,
             None => Standing::Together,
         }
     }
@@ -511,6 +517,7 @@
             return;
         }
         self.tell(Event::Slept(slept));
+        self.catching = now + self.settings.isolated;
         self.probe = None;
         self.checks.clear();
         self.relayed.clear();
@@ -777,6 +784,7 @@
         }
         if self.isolated.take().is_some() {
             self.pause_suspicions(now, Millis::MAX / 2);
+            self.catching = now + self.settings.isolated;
             self.tell(Event::Heard);
         }
         let page = matches!(datagram.body, Body::Page { .. });
--- a/crates/fleet/src/simulated.rs
+++ b/crates/fleet/src/simulated.rs
@@ -11,6 +11,9 @@
 /// Whether a datagram from one to another arrives, and a number by chance from 0 up to 1.
 pub type Link = Box<dyn Fn(usize, usize, f64) -> bool>;
 
+/// When it arrives, a number, at whom, and what.
+type Flying = (Millis, u64, usize, Vec<u8>);
+
 /// The nodes and what flies between them.
 pub struct Sim {
     /// The time.
@@ -23,7 +26,7 @@
     /// What becomes of datagrams.
     pub link: Link,
     random: fastrand::Rng,
-    flying: BinaryHeap<Reverse<(Millis, u64, usize, Vec<u8>)>>,
+    flying: BinaryHeap<Reverse<Flying>>,
     wakes: BinaryHeap<Reverse<(Millis, usize)>>,
     sent: u64,
     /// What each told, and when.
--- a/crates/fleet/tests/simulated.rs
+++ b/crates/fleet/tests/simulated.rs
@@ -60,6 +60,8 @@
     assert_eq!(sim.hold((0..20).filter(|node| *node != 5), 5, Life::Dead), 19);
     let before = sim.events.len();
     sim.wake(5);
+    sim.run(sim.now + 500);
+    assert_eq!(sim.nodes[5].standing(), Standing::Catching);
     sim.run(35_000);
     assert!(sim.all_together(&BTreeSet::new()));
     let told = &sim.events[before..];
--- /dev/null
+++ b/crates/node/src/admin/fleet.rs
@@ -0,0 +1,528 @@
+//! The fleet in the administration API: who lives, who may be out, who waits for what, and what operators do
+//! about it.
+
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::http::{header, HeaderMap, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post, put};
+use axum::{Extension, Json, Router};
+use serde::{Deserialize, Serialize};
+use utoipa::{OpenApi, ToSchema};
+use woodgap_permits::{Bounds, Budget, Command, Kept, Most, Phase, Refusal, Scope};
+
+use super::api::{document, Answer, Api};
+use super::auth::Caller;
+use super::problem::Problem;
+use crate::fleet::permits::{No, Standing, Tag};
+use crate::fleet::Permits;
+
+/// A member of the fleet, as this node sees it.
+#[derive(Debug, Serialize, ToSchema)]
+struct MemberLine {
+    /// Its name.
+    name: String,
+    /// Its zone; empty where it has none.
+    zone: String,
+    /// `alive`, `suspect`, `dead`; `missing` where it is on the roster and nothing is heard of it, `registered` where
+    /// there is no `[fleet]` and its session tells of it.
+    life: String,
+    /// `starting`, `ready`, `draining`, `out`; absent where it is not known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    phase: Option<String>,
+    /// For how long `life` is so, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    since_ms: Option<u64>,
+    /// The program's version.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<String>,
+    /// The digest of its configuration.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    config: Option<String>,
+    /// When it started, Unix time in milliseconds by its own clock.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    boot_ms: Option<u64>,
+    /// Who suspects it.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    suspected_by: Vec<String>,
+}
+
+/// A permit, or the wish for one.
+#[derive(Debug, Serialize, ToSchema)]
+struct PermitLine {
+    /// Whose.
+    holder: String,
+    /// `asked`, `granted`, `draining`, `out` or `returning`.
+    phase: String,
+    /// Since when, Unix time in milliseconds by the clock of who wrote it.
+    since_ms: u64,
+    /// Its grant's number; 0 before.
+    fence: u64,
+    /// Why it was granted over a budget.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    forced: Option<String>,
+    /// What is in its way, where it waits.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    blocked: Option<Obstacle>,
+}
+
+/// What is in the way of a grant.
+#[derive(Debug, Serialize, ToSchema)]
+struct Obstacle {
+    /// The budget: `fleet`, `zone NAME`, `pool NAME`; absent where grants are frozen or others are before it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    budget: Option<String>,
+    /// Most out by it now.
+    allowed: u32,
+    /// Who is out or before it, or why all is frozen.
+    by: Vec<String>,
+}
+
+/// A budget and how far it is used.
+#[derive(Debug, Serialize, ToSchema)]
+struct BudgetLine {
+    /// `fleet`, `zone NAME`, `pool NAME`.
+    scope: String,
+    /// So many, or a part: `2`, `10%`.
+    most_out: String,
+    /// Least left up.
+    least_up: u32,
+    /// Who is out of it now, with a permit or without; absent while this node cannot tell.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    out: Option<Vec<String>>,
+}
+
+/// Something that ended otherwise than by a return.
+#[derive(Debug, Serialize, ToSchema)]
+struct KeptLine {
+    /// Whose permit.
+    holder: String,
+    /// When, Unix time in milliseconds.
+    at_ms: u64,
+    /// What happened and why.
+    what: String,
+}
+
+/// Who may be out.
+#[derive(Debug, Serialize, ToSchema)]
+struct PermitsDocument {
+    /// The coordination service is out of reach: nothing is granted, and this is as it was read last.
+    stale: bool,
+    /// This node can't tell who is up, and grants nothing.
+    unsure: bool,
+    /// Why nothing is granted, if that was said.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    frozen: Option<String>,
+    /// The bounds.
+    budgets: Vec<BudgetLine>,
+    /// How long a return is held, in milliseconds.
+    hold_ms: u64,
+    /// How long a grant may wait for its node to begin, in milliseconds.
+    act_ms: u64,
+    /// In the order in which they were asked for.
+    permits: Vec<PermitLine>,
+    /// The last of what ended by force or by time.
+    kept: Vec<KeptLine>,
+}
+
+/// The fleet.
+#[derive(Debug, Serialize, ToSchema)]
+struct FleetDocument {
+    /// This node.
+    me: String,
+    /// `alone`, `together`, `catching` (it slept or was cut off a moment ago), `isolated` (it hears nobody), `unknown`
+    /// without `[fleet]`.
+    standing: String,
+    /// An operator has told this node to end.
+    drains: bool,
+    /// Everybody who is known or on the roster, by name.
+    members: Vec<MemberLine>,
+    /// Datagrams that were dropped, by why.
+    #[serde(skip_serializing_if = "std::collections::BTreeMap::is_empty")]
+    dropped: std::collections::BTreeMap<String, u64>,
+    /// Absent without `[permits]`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    permits: Option<PermitsDocument>,
+}
+
+/// Why an operator does something.
+#[derive(Debug, Deserialize, ToSchema)]
+#[serde(deny_unknown_fields)]
+struct Reason {
+    /// It is kept and told.
+    reason: String,
+}
+
+/// A budget as it is given.
+#[derive(Debug, Serialize, Deserialize, ToSchema)]
+#[serde(deny_unknown_fields)]
+struct BudgetSpec {
+    /// `fleet`, `zone NAME` or `pool NAME`.
+    scope: String,
+    /// So many (`"2"`), or a part (`"10%"`).
+    most_out: String,
+    /// Least left up.
+    #[serde(default)]
+    least_up: u32,
+}
+
+/// The bounds of the ledger.
+#[derive(Debug, Serialize, Deserialize, ToSchema)]
+#[serde(deny_unknown_fields)]
+struct BoundsSpec {
+    /// One a scope.
+    budgets: Vec<BudgetSpec>,
+    /// How long a return is held, in milliseconds.
+    hold_ms: u64,
+    /// How long a grant may wait for its node to begin, in milliseconds.
+    act_ms: u64,
+}
+
+/// The paths of the fleet, to be merged into the description of the API.
+#[derive(OpenApi)]
+#[openapi(paths(fleet, get_bounds, set_bounds, freeze, thaw, cancel, force, forget, strike, drain, stay))]
+pub(super) struct Description;
+
+pub(super) fn router() -> Router<Api> {
+    Router::new()
+        .route("/v1/fleet", get(fleet))
+        .route("/v1/fleet/bounds", get(get_bounds).put(set_bounds))
+        .route("/v1/fleet/freeze", put(freeze).delete(thaw))
+        .route("/v1/fleet/permits/{holder}", delete(cancel))
+        .route("/v1/fleet/permits/{holder}/force", post(force))
+        .route("/v1/fleet/permits/{holder}/forget", post(forget))
+        .route("/v1/fleet/members/{member}/strike", post(strike))
+        .route("/v1/drain", put(drain).delete(stay))
+}
+
+impl From<No> for Problem {
+    fn from(no: No) -> Problem {
+        let detail = no.to_string();
+        match no {
+            No::Unread(_) | No::Unreachable => Problem::new(StatusCode::SERVICE_UNAVAILABLE, detail),
+            No::Bound(_) => Problem::new(StatusCode::INSUFFICIENT_STORAGE, detail),
+            No::Changed(tag) => Problem::new(StatusCode::PRECONDITION_FAILED, detail).tagged(shown(tag)),
+            No::Refused(refusal) => {
+                let status = match refusal {
+                    Refusal::Stranger(_) | Refusal::NoPermit(_) => StatusCode::NOT_FOUND,
+                    Refusal::Another { .. } | Refusal::Fenced { .. } | Refusal::Begun { .. } => {
+                        StatusCode::CONFLICT
+                    }
+                    Refusal::Never { .. } | Refusal::Bound(_) => StatusCode::UNPROCESSABLE_ENTITY,
+                };
+                Problem::new(status, detail)
+            }
+        }
+    }
+}
+
+fn shown(tag: Tag) -> String {
+    format!("\"p{tag:016x}\"")
+}
+
+fn word(phase: Phase) -> String {
+    format!("{phase:?}").to_lowercase()
+}
+
+fn permits_document(standing: &Standing) -> Option<PermitsDocument> {
+    let ledger = standing.ledger.as_ref()?;
+    let scene = standing.up.as_ref().map(|up| ledger.scene(crate::control::now_ms(), up));
+    let budget = |budget: &Budget| BudgetLine {
+        scope: budget.scope.to_string(),
+        most_out: budget.most_out.to_string(),
+        least_up: budget.least_up,
+        out: scene.as_ref().map(|scene| ledger.out(scene, &budget.scope)),
+    };
+    let obstacle = |holder: &str| {
+        let blocked = standing.blocked.get(holder)?;
+        Some(Obstacle {
+            budget: blocked.scope.as_ref().map(Scope::to_string),
+            allowed: blocked.allowed,
+            by: blocked.by.clone(),
+        })
+    };
+    let permits = ledger.permits.iter().map(|permit| PermitLine {
+        holder: permit.holder.clone(),
+        phase: word(permit.phase),
+        since_ms: permit.since,
+        fence: permit.fence,
+        forced: permit.forced.clone(),
+        blocked: obstacle(&permit.holder),
+    });
+    let kept =
+        |kept: &Kept| KeptLine { holder: kept.holder.clone(), at_ms: kept.at, what: kept.what.clone() };
+    Some(PermitsDocument {
+        stale: standing.stale,
+        unsure: standing.up.is_none(),
+        frozen: ledger.frozen.clone(),
+        budgets: ledger.budgets.iter().map(budget).collect(),
+        hold_ms: ledger.hold_ms,
+        act_ms: ledger.act_ms,
+        permits: permits.collect(),
+        kept: ledger.kept.iter().map(kept).collect(),
+    })
+}
+
+/// Who lives, who is out, who waits for what. The tag is of all of it.
+#[utoipa::path(get, path = "/v1/fleet",
+    responses((status = 200, body = FleetDocument), (status = 304, description = "as If-None-Match has it"),
+        (status = "default", body = Problem)))]
+async fn fleet(State(api): State<Api>, Extension(caller): Extension<Caller>, headers: HeaderMap) -> Answer {
+    caller.operates()?;
+    let fleet = &api.control.fleet;
+    let view = fleet.members.as_ref().map(|members| members.view().borrow().clone());
+    let standing = fleet.permits.as_ref().map(Permits::standing);
+    if view.is_none() && standing.is_none() {
+        let detail = "this node is one of no fleet: see [fleet] and [permits] in its configuration";
+        return Err(Problem::new(StatusCode::NOT_FOUND, detail));
+    }
+    let mut lines: std::collections::BTreeMap<String, MemberLine> = std::collections::BTreeMap::new();
+    let bare = |name: &str, life: &str| MemberLine {
+        name: name.to_owned(),
+        zone: String::new(),
+        life: life.to_owned(),
+        phase: None,
+        since_ms: None,
+        version: None,
+        config: None,
+        boot_ms: None,
+        suspected_by: Vec::new(),
+    };
+    if let Some(standing) = &standing {
+        let roster = standing.ledger.iter().flat_map(|ledger| &ledger.roster);
+        for (name, scopes) in roster {
+            let here = standing.up.as_ref().is_some_and(|up| up.contains(name));
+            let mut line = bare(name, if here && view.is_none() { "registered" } else { "missing" });
+            let zone = scopes.iter().find_map(|scope| match scope {
+                Scope::Zone(zone) => Some(zone.clone()),
+                _ => None,
+            });
+            line.zone = zone.unwrap_or_default();
+            lines.insert(name.clone(), line);
+        }
+    }
+    for member in view.iter().flat_map(|view| &view.members) {
+        let line = lines.entry(member.name.clone()).or_insert_with(|| bare(&member.name, ""));
+        if line.zone.is_empty() {
+            line.zone = member.zone.clone();
+        }
+        line.life = format!("{:?}", member.life).to_lowercase();
+        line.phase = Some(format!("{:?}", member.phase).to_lowercase());
+        line.since_ms = Some(member.since_ms);
+        line.version = Some(member.version.clone());
+        line.config = Some(member.config.clone());
+        line.boot_ms = Some(member.boot_ms);
+        line.suspected_by = member.suspected_by.clone();
+    }
+    let me = view.as_ref().map(|view| view.me.clone());
+    let document = FleetDocument {
+        me: me.or_else(|| fleet.permits.as_ref().map(|permits| permits.me().to_owned())).unwrap_or_default(),
+        standing: view.as_ref().map_or("unknown", |view| view.standing).to_owned(),
+        drains: fleet.drains(),
+        members: lines.into_values().collect(),
+        dropped: view.map(|view| view.dropped).unwrap_or_default(),
+        permits: standing.as_ref().and_then(permits_document),
+    };
+    let text = serde_json::to_vec(&document).unwrap_or_default();
+    let tag = shown(xxhash_rust::xxh3::xxh3_64(&text));
+    Ok(with_tag(
+        if headers.get(header::IF_NONE_MATCH).is_some_and(|seen| seen.as_bytes() == tag.as_bytes()) {
+            StatusCode::NOT_MODIFIED.into_response()
+        } else {
+            ([(header::CONTENT_TYPE, "application/json")], text).into_response()
+        },
+        &tag,
+    ))
+}
+
+fn with_tag(mut response: Response, tag: &str) -> Response {
+    if let Ok(value) = HeaderValue::from_str(tag) {
+        response.headers_mut().insert(header::ETAG, value);
+    }
+    response
+}
+
+fn permits(api: &Api) -> Result<&Permits, Problem> {
+    let none = || {
+        let detail = "this node goes by no permits: see [permits] in its configuration";
+        Problem::new(StatusCode::NOT_FOUND, detail)
+    };
+    api.control.fleet.permits.as_ref().ok_or_else(none)
+}
+
+/// Writes an operator's command.
+async fn command(api: &Api, caller: &Caller, command: Command, seen: Option<Tag>) -> Answer {
+    caller.operates()?;
+    let permits = permits(api)?;
+    let told = format!("{command:?}");
+    permits.command(command, seen).await?;
+    crate::log::line(format_args!("permits: {} said {told}", caller.name));
+    Ok(StatusCode::NO_CONTENT.into_response())
+}
+
+/// With the name of who says it: that is kept.
+async fn reason(caller: &Caller, headers: &HeaderMap, body: Body) -> Result<String, Problem> {
+    caller.operates()?;
+    let Reason { reason } = document(headers, body).await?;
+    if reason.trim().is_empty() {
+        return Err(Problem::field(StatusCode::UNPROCESSABLE_ENTITY, "reason", "say why: it is kept"));
+    }
+    Ok(format!("{reason} ({})", caller.name))
+}
+
+fn budget(spec: &BudgetSpec) -> Result<Budget, Problem> {
+    let bad = |field: &str, right: &str| {
+        Problem::field(StatusCode::UNPROCESSABLE_ENTITY, format!("budgets.{}.{field}", spec.scope), right)
+    };
+    let scope = match spec.scope.split_once(' ') {
+        None if spec.scope == "fleet" => Scope::Fleet,
+        Some(("zone", name)) if !name.is_empty() => Scope::Zone(name.to_owned()),
+        Some(("pool", name)) if !name.is_empty() => Scope::Pool(name.to_owned()),
+        _ => return Err(bad("scope", "give fleet, zone NAME or pool NAME")),
+    };
+    let most_out = match spec.most_out.strip_suffix('%') {
+        Some(part) => part.parse().ok().filter(|part| (1..=100).contains(part)).map(Most::Percent),
+        None => spec.most_out.parse().ok().map(Most::Count),
+    };
+    let most_out = most_out.ok_or_else(|| bad("most_out", "give so many (\"2\") or a part (\"10%\")"))?;
+    Ok(Budget { scope, most_out, least_up: spec.least_up })
+}
+
+/// The bounds, and the tag to change them by.
+#[utoipa::path(get, path = "/v1/fleet/bounds",
+    responses((status = 200, body = BoundsSpec), (status = "default", body = Problem)))]
+async fn get_bounds(State(api): State<Api>, Extension(caller): Extension<Caller>) -> Answer {
+    caller.operates()?;
+    let ledger = permits(&api)?.standing().ledger.ok_or_else(|| {
+        let detail = "the ledger was not read yet: the coordination service is out of reach";
+        Problem::new(StatusCode::SERVICE_UNAVAILABLE, detail)
+    })?;
+    let (bounds, tag) = crate::fleet::permits::bounds(&ledger);
+    let budget = |budget: &Budget| BudgetSpec {
+        scope: budget.scope.to_string(),
+        most_out: budget.most_out.to_string(),
+        least_up: budget.least_up,
+    };
+    let budgets = bounds.budgets.iter().map(budget).collect();
+    let spec = BoundsSpec { budgets, hold_ms: bounds.hold_ms, act_ms: bounds.act_ms };
+    Ok(with_tag(Json(spec).into_response(), &shown(tag)))
+}
+
+/// Gives other bounds, over those that were seen (`If-Match`).
+#[utoipa::path(put, path = "/v1/fleet/bounds", request_body = BoundsSpec,
+    responses((status = 204, description = "they hold"), (status = "default", body = Problem)))]
+async fn set_bounds(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    caller.operates()?;
+    let seen = headers.get(header::IF_MATCH).and_then(|value| value.to_str().ok());
+    let Some(seen) = seen else {
+        let detail = "send If-Match with the ETag of GET /v1/fleet/bounds, so that no other change is lost";
+        return Err(Problem::new(StatusCode::PRECONDITION_REQUIRED, detail));
+    };
+    // Whatever is no tag of ours is not what is there.
+    let seen = seen.strip_prefix("\"p").and_then(|seen| seen.strip_suffix('"'));
+    let seen = seen.and_then(|seen| Tag::from_str_radix(seen, 16).ok()).unwrap_or(Tag::MAX);
+    let spec: BoundsSpec = document(&headers, body).await?;
+    let budgets = spec.budgets.iter().map(budget).collect::<Result<_, _>>()?;
+    let bounds = Bounds { budgets, hold_ms: spec.hold_ms, act_ms: spec.act_ms };
+    command(&api, &caller, Command::Bounds(bounds), Some(seen)).await
+}
+
+/// Nothing more is granted.
+#[utoipa::path(put, path = "/v1/fleet/freeze", request_body = Reason,
+    responses((status = 204, description = "nothing more is granted"), (status = "default", body = Problem)))]
+async fn freeze(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    let reason = reason(&caller, &headers, body).await?;
+    command(&api, &caller, Command::Freeze(Some(reason)), None).await
+}
+
+/// Grants go on.
+#[utoipa::path(delete, path = "/v1/fleet/freeze",
+    responses((status = 204, description = "grants go on"), (status = "default", body = Problem)))]
+async fn thaw(State(api): State<Api>, Extension(caller): Extension<Caller>) -> Answer {
+    command(&api, &caller, Command::Freeze(None), None).await
+}
+
+/// Takes back what was asked for or granted and has not begun.
+#[utoipa::path(delete, path = "/v1/fleet/permits/{holder}", params(("holder" = String, Path)),
+    responses((status = 204, description = "it is taken back"), (status = "default", body = Problem)))]
+async fn cancel(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(holder): Path<String>,
+) -> Answer {
+    command(&api, &caller, Command::Cancel { holder }, None).await
+}
+
+/// Grants over the budgets.
+#[utoipa::path(post, path = "/v1/fleet/permits/{holder}/force", params(("holder" = String, Path)),
+    request_body = Reason,
+    responses((status = 204, description = "it may go"), (status = "default", body = Problem)))]
+async fn force(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(holder): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    let reason = reason(&caller, &headers, body).await?;
+    command(&api, &caller, Command::Force { holder, reason }, None).await
+}
+
+/// Ends the permit of one that will not come back.
+#[utoipa::path(post, path = "/v1/fleet/permits/{holder}/forget", params(("holder" = String, Path)),
+    request_body = Reason,
+    responses((status = 204, description = "its place is free"), (status = "default", body = Problem)))]
+async fn forget(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(holder): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    let reason = reason(&caller, &headers, body).await?;
+    command(&api, &caller, Command::Forget { holder, reason }, None).await
+}
+
+/// Takes a member off the roster for good: it is missed no more.
+#[utoipa::path(post, path = "/v1/fleet/members/{member}/strike", params(("member" = String, Path)),
+    request_body = Reason,
+    responses((status = 204, description = "it is no member"), (status = "default", body = Problem)))]
+async fn strike(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(member): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    let reason = reason(&caller, &headers, body).await?;
+    command(&api, &caller, Command::Strike { holder: member, reason }, None).await
+}
+
+/// This node asks to be out, goes once it may, drains and ends.
+#[utoipa::path(put, path = "/v1/drain",
+    responses((status = 202, description = "it asks"), (status = "default", body = Problem)))]
+async fn drain(State(api): State<Api>, Extension(caller): Extension<Caller>) -> Answer {
+    caller.operates()?;
+    api.control.fleet.drain(true);
+    crate::log::line(format_args!("{} told this node to drain", caller.name));
+    Ok(StatusCode::ACCEPTED.into_response())
+}
+
+/// It thinks better of it, unless it drains already.
+#[utoipa::path(delete, path = "/v1/drain",
+    responses((status = 202, description = "it stays, if it has not begun"), (status = "default", body = Problem)))]
+async fn stay(State(api): State<Api>, Extension(caller): Extension<Caller>) -> Result<Response, Problem> {
+    caller.operates()?;
+    api.control.fleet.drain(false);
+    Ok(StatusCode::ACCEPTED.into_response())
+}
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -8,6 +8,7 @@
 
 pub(crate) mod api;
 pub(crate) mod auth;
+mod fleet;
 pub(crate) mod problem;
 
 use std::collections::BTreeMap;
--- a/crates/node/src/admin/problem.rs
+++ b/crates/node/src/admin/problem.rs
@@ -40,6 +40,7 @@
             404 => ("urn:woodgap:problem:not-found", "There is no such thing"),
             405 => ("urn:woodgap:problem:method", "The method does not fit the path"),
             408 => ("urn:woodgap:problem:slow", "The request took too long to come"),
+            409 => ("urn:woodgap:problem:conflict", "It stands otherwise"),
             410 => ("urn:woodgap:problem:history", "The history does not reach back"),
             412 => ("urn:woodgap:problem:changed", "The document has changed"),
             413 => ("urn:woodgap:problem:too-long", "The body is too long"),
@@ -54,6 +55,11 @@
         Problem { kind, title, status: status.as_u16(), detail, errors: Vec::new(), etag: None }
     }
 
+    /// With the present tag of what was changed meanwhile.
+    pub fn tagged(self, etag: String) -> Self {
+        Problem { etag: Some(etag), ..self }
+    }
+
     /// A fault in one field of a document.
     pub fn field(status: StatusCode, field: impl Into<String>, problem: impl Into<String>) -> Self {
         let fault = FieldFault::new(field, problem);
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -10,7 +10,7 @@
 
 use crate::hosted::config::{descriptors, HostedConfig};
 use crate::hosted::{self, Addresses};
-use crate::{admin, platform};
+use crate::{admin, operate, platform};
 
 /// An HTTP load balancer. Without a command it is the platform's node, told by BALANCER_CONFIG.
 #[derive(Parser)]
@@ -29,6 +29,27 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Shows the fleet: who lives, who may be out, who waits for what; or changes what operators may.
+    Fleet {
+        #[command(flatten)]
+        node: operate::Node,
+        #[command(subcommand)]
+        what: Option<operate::What>,
+        /// As the administration API has it, for programs.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Has a node ask to be out, drain and end, and tells how far that is.
+    Drain {
+        #[command(flatten)]
+        node: operate::Node,
+        /// Takes it back, where the node has not begun.
+        #[arg(long)]
+        cancel: bool,
+        /// How long to wait for its end, in seconds; the node goes on with it all the same.
+        #[arg(long, default_value_t = 600)]
+        wait_s: u64,
+    },
     /// Reads a configuration and what it names, and tells every fault with its line.
     Check {
         /// The configuration.
@@ -37,7 +58,7 @@
     },
 }
 
-fn read(path: &Path) -> Result<HostedConfig, Box<dyn Error>> {
+pub(crate) fn read(path: &Path) -> Result<HostedConfig, Box<dyn Error>> {
     let at = path.display();
     let text = std::fs::read_to_string(path).map_err(|error| format!("{at}: {error}"))?;
     let folder = path.parent().unwrap_or(Path::new(""));
@@ -92,6 +113,8 @@
         None => platform::start(),
         Some(Command::Serve { config }) => serve(&config),
         Some(Command::Check { config }) => check(&config),
+        Some(Command::Fleet { node, what, json }) => operate::fleet(&node, what, json),
+        Some(Command::Drain { node, cancel, wait_s }) => operate::drain(&node, cancel, wait_s),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,6 +13,7 @@
 use woodgap_tenancy::{Catalogue, Condition, Edit, State, Uid};
 
 use crate::admin;
+use crate::fleet::Fleet;
 use crate::hosted::config::AdminConfig;
 use crate::hosted::directory::{Standing, View};
 use crate::hosted::Command;
@@ -51,6 +52,8 @@
     waiting: Semaphore,
     /// How the store stands, where other nodes write it too.
     remote: Option<watch::Receiver<Remote>>,
+    /// This node's place among others.
+    pub fleet: Fleet,
 }
 
 /// The time of day, Unix time in milliseconds.
@@ -78,11 +81,13 @@
         catalogue: Catalogue,
         store: Box<dyn Store>,
         plane: mpsc::UnboundedSender<Command>,
+        fleet: Fleet,
     ) -> Arc<Self> {
         let (revision, _) = watch::channel(catalogue.revision());
         let remote = store.remote();
         let (catalogue, store) = (RwLock::new(catalogue), Mutex::new(Some(store)));
-        Arc::new(Control { catalogue, store, plane, revision, waiting: Semaphore::new(MOST_WAITING), remote })
+        let waiting = Semaphore::new(MOST_WAITING);
+        Arc::new(Control { catalogue, store, plane, revision, waiting, remote, fleet })
     }
 
     /// Looks at the catalogue.
--- /dev/null
+++ b/crates/node/src/fleet/permits.rs
@@ -0,0 +1,406 @@
+//! When this node may be out, agreed through the ledger at the coordination service.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use woodgap_permits::{Blocked, Bounds, Budget, Command, Ledger, Most, Phase, Refusal, Scope};
+use woodgap_zookeeper::board::{Board, Failure, Seen};
+use woodgap_zookeeper::names::Names;
+use woodgap_zookeeper::session::Service;
+
+use super::members::{Members, View};
+use crate::control::now_ms;
+
+/// How long a write may take, with all its tries.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// What falls due by time alone (holds, grants that were slept through) is looked for this often, and up to as much
+/// later by chance.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// What the operator's file says of permits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PermitsConfig {
+    /// Where the ledger is.
+    pub path: String,
+    /// The zone of this node.
+    pub zone: Option<String>,
+    /// Budgets of a ledger that is not there yet; one that is there keeps its own.
+    pub budgets: Vec<Budget>,
+    /// How long a return is held.
+    pub hold: Duration,
+    /// How long a grant may wait for its node to begin.
+    pub act: Duration,
+    /// How long a node that is to end waits for its permit. Then it goes without one, and is counted so.
+    pub wait: Duration,
+}
+
+impl PermitsConfig {
+    /// The usual times, and a budget for the fleet, and for the node's zone if there is one.
+    pub fn new(
+        path: String,
+        zone: Option<String>,
+        most_out: Most,
+        zone_most: Option<Most>,
+        least_up: u32,
+    ) -> Self {
+        let fleet = Budget { scope: Scope::Fleet, most_out, least_up };
+        let scope = zone.clone().map(Scope::Zone);
+        let of_zone = scope.zip(zone_most).map(|(scope, most_out)| Budget { scope, most_out, least_up: 0 });
+        PermitsConfig {
+            path,
+            zone,
+            budgets: std::iter::once(fleet).chain(of_zone).collect(),
+            hold: Duration::from_secs(10),
+            act: Duration::from_secs(15),
+            wait: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Why a command was not written.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum No {
+    /// A document that cannot be read is not written over.
+    #[error("the ledger cannot be read and is left as it is: {0}")]
+    Unread(String),
+    /// The ledger does not take it.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+    /// Somebody has changed the bounds; their tag now.
+    #[error("the bounds have changed: read them again, then decide")]
+    Changed(Tag),
+    /// No write reached the service in time; one may have been done all the same.
+    #[error("the coordination service is out of reach: nothing is granted, and this was not done as far as is known")]
+    Unreachable,
+    /// Too much waits already.
+    #[error("{0}")]
+    Bound(&'static str),
+}
+
+impl From<Failure<No>> for No {
+    fn from(failure: Failure<No>) -> No {
+        match failure {
+            Failure::Refused(no) => no,
+            Failure::Unreachable { .. } => No::Unreachable,
+            Failure::Bound(why) => No::Bound(why),
+        }
+    }
+}
+
+/// Which bounds were read: others have another. Permits that come and go leave it as it is.
+pub type Tag = u64;
+
+fn digest(text: &[u8]) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(text)
+}
+
+/// The bounds of a ledger, and their tag.
+pub fn bounds(ledger: &Ledger) -> (Bounds, Tag) {
+    let bounds = Bounds { budgets: ledger.budgets.clone(), hold_ms: ledger.hold_ms, act_ms: ledger.act_ms };
+    let tag = digest(&serde_json::to_vec(&bounds).unwrap_or_default());
+    (bounds, tag)
+}
+
+/// How permits stand.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// The ledger as it was read last; `None` where it never was, or can't be.
+    pub ledger: Option<Ledger>,
+    /// It cannot be reached now: nothing is granted.
+    pub stale: bool,
+    /// Who serves; `None` while this node cannot tell.
+    pub up: Option<BTreeSet<String>>,
+    /// What is in the way of those who ask.
+    pub blocked: BTreeMap<String, Blocked>,
+}
+
+/// Who serves, as the fleet finds or, without one, as sessions tell.
+#[derive(Clone)]
+enum Up {
+    Sessions(watch::Receiver<Option<BTreeSet<String>>>),
+    Fleet(watch::Receiver<View>),
+}
+
+impl Up {
+    fn now(&self) -> Option<BTreeSet<String>> {
+        match self {
+            Up::Sessions(names) => names.borrow().clone(),
+            Up::Fleet(view) => view.borrow().up(),
+        }
+    }
+
+    async fn changed(&mut self) {
+        let ended = match self {
+            Up::Sessions(names) => names.changed().await.is_err(),
+            Up::Fleet(view) => view.changed().await.is_err(),
+        };
+        if ended {
+            std::future::pending().await
+        }
+    }
+}
+
+struct Inner {
+    me: String,
+    config: PermitsConfig,
+    scopes: BTreeSet<Scope>,
+    board: Board,
+    up: Up,
+    _names: Option<Names>,
+    /// The node is about to end: what it says of itself is said by `may_go`.
+    leaving: AtomicBool,
+}
+
+/// This node's part in the ledger.
+#[derive(Clone)]
+pub struct Permits(Arc<Inner>);
+
+impl Permits {
+    /// Takes part. Who serves is known by `members` or, without them, by who registers at the path `register`.
+    pub fn start(
+        service: &Service,
+        me: String,
+        config: PermitsConfig,
+        members: Option<&Members>,
+        register: &str,
+    ) -> Permits {
+        let scopes = config.zone.iter().cloned().map(Scope::Zone).collect();
+        let board = Board::start(service, config.path.clone());
+        let names = members.is_none().then(|| Names::start(service, register.to_owned()));
+        let up = match (members, &names) {
+            (Some(members), _) => Up::Fleet(members.view()),
+            (None, Some(names)) => Up::Sessions(names.seen()),
+            (None, None) => Up::Sessions(watch::channel(None).1),
+        };
+        let leaving = AtomicBool::new(false);
+        Permits(Arc::new(Inner { me, config, scopes, board, up, _names: names, leaving }))
+    }
+
+    /// This node's name.
+    pub fn me(&self) -> &str {
+        &self.0.me
+    }
+
+    /// How long a node that is to end waits for its permit.
+    pub fn wait(&self) -> Duration {
+        self.0.config.wait
+    }
+
+    /// How permits stand now.
+    pub fn standing(&self) -> Standing {
+        let (ledger, stale) = match &*self.0.board.seen().borrow() {
+            Seen::Document { text: Some(text), stale, .. } => (serde_json::from_slice(text).ok(), *stale),
+            Seen::Document { text: None, stale, .. } => (Self::empty(&self.0.config).ok(), *stale),
+            Seen::Unknown => (None, true),
+        };
+        let up = self.0.up.now();
+        let mut blocked = BTreeMap::new();
+        if let (Some(ledger), Some(up)) = (&ledger, &up) {
+            let scene = ledger.scene(now_ms(), up);
+            let asked = ledger.permits.iter().filter(|permit| permit.phase == Phase::Asked);
+            let waits = asked.filter_map(|p| Some((p.holder.clone(), ledger.blocked(&scene, &p.holder)?)));
+            blocked = waits.collect();
+        }
+        Standing { ledger, stale, up, blocked }
+    }
+
+    /// Takes an operator's command, where the bounds are still those that were seen, if some are named.
+    ///
+    /// # Errors
+    /// Why it was not taken.
+    pub async fn command(&self, command: Command, seen: Option<Tag>) -> Result<(), No> {
+        Ok(self.take_seen(Some(command), seen, PATIENCE).await?)
+    }
+
+    fn empty(config: &PermitsConfig) -> Result<Ledger, Refusal> {
+        let millis = |time: Duration| time.as_millis() as u64;
+        Ledger::new(config.budgets.clone(), millis(config.hold), millis(config.act))
+    }
+
+    /// The ledger as it was read last; `None` before it was, or where the service is out of reach.
+    fn ledger(&self) -> Option<Ledger> {
+        match &*self.0.board.seen().borrow() {
+            Seen::Document { text: Some(text), stale: false, .. } => serde_json::from_slice(text).ok(),
+            Seen::Document { text: None, stale: false, .. } => Self::empty(&self.0.config).ok(),
+            _ => None,
+        }
+    }
+
+    fn up(&self) -> Option<BTreeSet<String>> {
+        self.0.up.now()
+    }
+
+    /// Takes a command, if there is one, and does what is due.
+    async fn take(&self, command: Option<Command>, patience: Duration) -> Result<(), Failure<No>> {
+        self.take_seen(command, None, patience).await
+    }
+
+    async fn take_seen(
+        &self,
+        command: Option<Command>,
+        seen: Option<Tag>,
+        patience: Duration,
+    ) -> Result<(), Failure<No>> {
+        let (config, who) = (self.0.config.clone(), self.0.up.clone());
+        // What this change has written itself, where it was written and its answer lost.
+        let mut wrote: Option<u64> = None;
+        let change = move |read: Option<&[u8]>| {
+            if read.is_some_and(|read| wrote == Some(digest(read))) {
+                return Ok((None, ()));
+            }
+            let before = match read {
+                None => Self::empty(&config).map_err(No::Refused)?,
+                Some(text) => serde_json::from_slice(text).map_err(|error| No::Unread(error.to_string()))?,
+            };
+            let now = bounds(&before).1;
+            if seen.is_some_and(|seen| seen != now) {
+                return Err(No::Changed(now));
+            }
+            let mut ledger: Ledger = before.clone();
+            // Who is up is looked up anew with each try, and without it nothing is decided.
+            let up = who.now();
+            if let Some(command) = command.clone() {
+                let seen = up.clone().unwrap_or_default();
+                ledger.take(&ledger.scene(now_ms(), &seen), command).map_err(No::Refused)?;
+            }
+            if let Some(up) = &up {
+                ledger.settle(&ledger.scene(now_ms(), up));
+            }
+            if ledger == before && read.is_some() {
+                return Ok((None, ()));
+            }
+            let text = serde_json::to_vec(&ledger).unwrap_or_default();
+            wrote = Some(digest(&text));
+            Ok((Some(text), ()))
+        };
+        self.0.board.change(patience, change).await
+    }
+
+    /// Goes on while the node serves: says what it has to say of itself and does what is due for all.
+    pub async fn keep(self) {
+        let (mut ledgers, mut up) = (self.0.board.seen(), self.0.up.clone());
+        let mut told = None;
+        loop {
+            let pause = LOOK + LOOK.mul_f64(fastrand::f64());
+            tokio::select! {
+                _ = ledgers.changed() => {}
+                () = up.changed() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
+            let (Some(ledger), Some(up)) = (self.ledger(), self.up()) else { continue };
+            let mut due = ledger.clone();
+            let settles = due.settle(&ledger.scene(now_ms(), &up));
+            let leaving = self.0.leaving.load(Ordering::SeqCst);
+            let duty = ledger.duty(&self.0.me, &self.0.scopes, &up).filter(|_| !leaving);
+            if duty.is_none() && !settles {
+                continue;
+            }
+            let problem = match self.take(duty, PATIENCE).await {
+                Err(Failure::Refused(why)) => Some(format!("permits: {}: {why}", self.0.config.path)),
+                // The session's own line tells of it.
+                Ok(()) | Err(Failure::Unreachable { .. } | Failure::Bound(_)) => None,
+            };
+            if problem != told {
+                if let Some(problem) = &problem {
+                    crate::log::line(format_args!("{problem}"));
+                }
+                told = problem;
+            }
+        }
+    }
+
+    /// Asks to be out and waits for it, until `hurry` is done at most. `true` once the node may go, with its permit begun.
+    pub async fn may_go(&self, hurry: impl std::future::Future<Output = &'static str>) -> bool {
+        self.0.leaving.store(true, Ordering::SeqCst);
+        let went = tokio::select! {
+            went = self.ask() => Ok(went),
+            why = hurry => Err(why),
+        };
+        match went {
+            Ok(Ok(fence)) => {
+                crate::log::line(format_args!("permits: {} goes, by permit {fence}", self.0.me));
+                true
+            }
+            Ok(Err(why)) => {
+                crate::log::line(format_args!("permits: {} goes without a permit: {why}", self.0.me));
+                false
+            }
+            Err(hurry) => {
+                let why = self.why();
+                crate::log::line(format_args!(
+                    "permits: {} goes without a permit, {hurry}: {why}",
+                    self.0.me
+                ));
+                self.withdraw().await;
+                false
+            }
+        }
+    }
+
+    /// What was asked for is not left to be granted to one that is gone.
+    async fn withdraw(&self) {
+        drop(self.take(Some(Command::Cancel { holder: self.0.me.clone() }), LOOK).await);
+    }
+
+    /// The node is not to end any more. What it asked for is withdrawn, what has begun is a return.
+    pub async fn stay(&self) {
+        self.withdraw().await;
+        self.0.leaving.store(false, Ordering::SeqCst);
+    }
+
+    /// Why nothing is granted now.
+    fn why(&self) -> String {
+        let (Some(ledger), Some(up)) = (self.ledger(), self.up()) else {
+            return "the coordination service is out of reach".to_owned();
+        };
+        match ledger.blocked(&ledger.scene(now_ms(), &up), &self.0.me) {
+            Some(blocked) => match blocked.scope {
+                Some(scope) => {
+                    format!("{scope} allows {} out, and out are {}", blocked.allowed, blocked.by.join(", "))
+                }
+                None => blocked.by.join(", "),
+            },
+            None => "it is not in line".to_owned(),
+        }
+    }
+
+    /// Asks, waits for the grant and begins; its fence. Goes by the ledger alone, whatever an earlier process of this
+    /// name or the loop of `keep` has left there.
+    async fn ask(&self) -> Result<u64, String> {
+        let me = &self.0.me;
+        let mut seen = self.0.board.seen();
+        let failed = |failure: Failure<No>| No::from(failure).to_string();
+        loop {
+            seen.mark_unchanged();
+            let standing =
+                self.ledger().map(|ledger| ledger.of(me).map(|permit| (permit.phase, permit.fence)));
+            let command = match standing {
+                Some(None) => Command::Ask { holder: me.clone(), ask: format!("{:016x}", fastrand::u64(..)) },
+                Some(Some((Phase::Granted, fence))) => Command::Begin { holder: me.clone(), fence },
+                // It counts as out already.
+                Some(Some((Phase::Draining | Phase::Out, fence))) => return Ok(fence),
+                None | Some(Some((Phase::Asked | Phase::Returning, _))) => {
+                    let ended = "the coordination service is not looked at any more";
+                    seen.changed().await.map_err(|_| ended.to_owned())?;
+                    continue;
+                }
+            };
+            match self.take(Some(command), self.0.config.wait).await {
+                // Withdrawn meanwhile: it does not go on that, and asks again.
+                Ok(()) | Err(Failure::Refused(No::Refused(Refusal::Fenced { .. }))) => {}
+                Err(failure) => return Err(failed(failure)),
+            }
+        }
+    }
+
+    /// The node has nothing in flight any more.
+    pub async fn left(&self) {
+        let permit = self.ledger().and_then(|ledger| ledger.of(&self.0.me).cloned());
+        let Some(permit) = permit.filter(|permit| permit.phase == Phase::Draining) else { return };
+        let left = Command::Left { holder: self.0.me.clone(), fence: permit.fence };
+        drop(self.take(Some(left), PATIENCE).await);
+    }
+}
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -18,7 +18,7 @@
 use woodgap_zookeeper::is_path;
 use woodgap_zookeeper::session::{Settings as SessionSettings, MOST_ADDRESSES};
 
-pub use crate::fleet::PermitsConfig;
+pub use crate::fleet::{FleetConfig, PermitsConfig};
 pub use crate::front::keys::Keys;
 
 /// Listeners, at most.
@@ -193,6 +193,10 @@
     pub zookeeper: Option<ZookeeperConfig>,
     /// The file of the authorities that servers with HTTP/3 are trusted by, if there is one.
     pub authorities: Option<PathBuf>,
+    /// The fleet that this node is one of, if it is.
+    pub fleet: Option<FleetConfig>,
+    /// Of the file: nodes with the same one have the same.
+    pub digest: u32,
     /// Permits to be out, agreed with the other nodes, if there are any.
     pub permits: Option<PermitsConfig>,
     /// Fair queues at the pools' doors, if there are any.
@@ -453,6 +457,14 @@
             admission = keys.map(|keys| AdmissionConfig { keys, settings });
             reader.done(section);
         }
+        let mut fleet = None;
+        if let Some(mut section) = reader.section(top, "fleet") {
+            fleet = Self::fleet(reader, &mut section, folder);
+            if let Some(fault) = fleet.as_ref().and_then(|fleet| fleet.fault(&name)) {
+                reader.fault(section.span.clone(), fault);
+            }
+            reader.done(section);
+        }
         let registers = zookeeper.as_ref().is_some_and(|zookeeper| zookeeper.register.is_some());
         let permits = match reader.section(top, "permits") {
             Some(mut section) => {
@@ -482,11 +494,46 @@
             admin,
             zookeeper,
             authorities,
+            fleet,
+            digest: xxhash_rust::xxh3::xxh3_64(reader.text.as_bytes()) as u32,
             permits,
             admission,
         })
     }
 
+    fn fleet(reader: &mut Reader<'_>, section: &mut Section<'_, '_>, folder: &Path) -> Option<FleetConfig> {
+        let listen = reader.address(section, "listen");
+        let listen = reader.required(section, "listen", listen);
+        let advertise = reader.address(section, "advertise");
+        let zone = reader.text(section, "zone", "the zone of this node");
+        let keys = reader.text(section, "keys_file", "the file with a key a line, ID SECRET, mode 0600");
+        let interval = reader.whole(section, "interval_ms", 20..60_001);
+        let mut peers = Vec::new();
+        if let Some(table) = reader.section(section, "peers") {
+            for (name, value) in table.table.iter() {
+                match value.get_ref().as_str().and_then(|addr| addr.parse().ok()) {
+                    Some(addr) => peers.push((name.get_ref().to_string(), addr)),
+                    None => {
+                        let right = "an address and port, such as \"10.0.0.5:7946\"";
+                        reader.fault(value.span(), format!("fleet.peers.{}: give {right}", name.get_ref()));
+                    }
+                }
+            }
+        }
+        if let (Some(addr), None) = (listen.filter(|addr| addr.ip().is_unspecified()), advertise) {
+            let problem = format!("fleet.listen {addr}: say as advertise which address others send to");
+            reader.fault(section.span.clone(), problem);
+        }
+        Some(FleetConfig {
+            listen: listen?,
+            advertise,
+            zone,
+            peers,
+            keys: keys.map(|file| folder.join(file)),
+            interval: interval.map_or(FleetConfig::INTERVAL, Duration::from_millis),
+        })
+    }
+
     fn permits(
         reader: &mut Reader<'_>,
         section: &mut Section<'_, '_>,
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
+use woodgap_fleet::Phase;
 use woodgap_membership::SourceId;
 use woodgap_tenancy::Uid;
 use woodgap_zookeeper::register::{Node, Register, Standing as Registered};
@@ -34,7 +35,7 @@
 
 use crate::admin;
 use crate::control::{self, Control};
-use crate::fleet::Permits;
+use crate::fleet::{Fleet, Members, Permits};
 use crate::front::clients::Clients;
 use crate::front::http1::Door;
 use crate::front::http3;
@@ -179,7 +180,11 @@
     let catalogue = store.load().map_err(|error| format!("{}: {error}", config.store))?;
     let admin_sockets = config.admin.as_ref().map_or(0, |admin| admin.connections + 8);
     let zookeeper_sockets = service.as_ref().map_or(0, |_| ZOOKEEPER_DESCRIPTORS);
-    let all = config.sockets.saturating_sub(RESERVE + OVERFLOW + admin_sockets + zookeeper_sockets).max(4);
+    let fleet_sockets = usize::from(config.fleet.is_some());
+    let all = config
+        .sockets
+        .saturating_sub(RESERVE + OVERFLOW + admin_sockets + zookeeper_sockets + fleet_sockets)
+        .max(4);
     let connections = ((all as f64 * CLIENTS) as usize).max(1);
     let mut addresses = Addresses { listeners: Vec::new(), admin: None };
     let mut doors = Vec::new();
@@ -213,6 +218,16 @@
         authorities: authorities.clone(),
         admission: config.admission.clone(),
     };
+    let members = match &config.fleet {
+        Some(fleet) => Some(Members::start(fleet, &config.name, config.digest).await?),
+        None => None,
+    };
+    let register = config.zookeeper.as_ref().and_then(|zookeeper| zookeeper.register.as_ref());
+    let permits = service.as_ref().zip(config.permits.clone()).zip(register);
+    let permits = permits.map(|((service, permits), register)| {
+        Permits::start(service, config.name.clone(), permits, members.as_ref(), &register.path)
+    });
+    let fleet = Fleet::new(members.clone(), permits.clone());
     let sockets = Sockets::new(all);
     let (drained, gone) = mpsc::unbounded_channel();
     let (plane, mut commands) = mpsc::unbounded_channel();
@@ -225,7 +240,7 @@
     tenants.serve(&clients);
     control::views(&catalogue).for_each(|view| tenants.update(view));
 
-    let control = Control::new(catalogue, store, plane);
+    let control = Control::new(catalogue, store, plane, fleet.clone());
     let mut control = control::start(control, gone, admin.zip(tokens), config.admin.clone())?;
     let obey = {
         let tenants = tenants.clone();
@@ -258,6 +273,7 @@
     {
         // Before the node is ready, and without certificates too: an unhandled SIGHUP ends the process.
         let mut hangup = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
+        let members = members.clone();
         spawn_local(async move {
             while hangup.recv().await.is_some() {
                 for certificate in &certificates {
@@ -269,16 +285,22 @@
                 if let Err(error) = authorities.reload() {
                     crate::log::line(format_args!("authorities kept: {error}"));
                 }
+                if let Some(members) = &members {
+                    match members.reload().await {
+                        Ok(true) => crate::log::line(format_args!("fleet: keys read again")),
+                        Ok(false) => {}
+                        Err(error) => crate::log::line(format_args!("fleet: keys kept: {error}")),
+                    }
+                }
             }
         });
     }
-    let register = config.zookeeper.as_ref().and_then(|zookeeper| zookeeper.register.as_ref());
-    let permits = service.as_ref().zip(config.permits.clone()).zip(register);
-    let permits = permits.map(|((service, permits), register)| {
-        let permits = Permits::start(service, config.name.clone(), permits, register.path.clone());
+    if let Some(permits) = &permits {
         spawn_local(permits.clone().keep());
-        permits
-    });
+    }
+    if let Some(members) = &members {
+        members.say(Phase::Ready).await;
+    }
     ready(addresses);
     if let Some(service) = &service {
         spawn_local(tell_session(service.status()));
@@ -293,13 +315,7 @@
             tokio::time::sleep(LOAD).await;
         }
     };
-    // With permits on, a node that is to end serves until it may.
-    let stop = async {
-        stop.await;
-        if let Some(permits) = &permits {
-            permits.may_go().await;
-        }
-    };
+    let stop = may_stop(stop, &fleet);
     // Off the list first: whoever reads it sends no more.
     let leave = async {
         if let Some(registration) = &registration {
@@ -308,10 +324,16 @@
     };
     tokio::select! {
         () = stop => {
+            if let Some(members) = &members {
+                members.say(Phase::Draining).await;
+            }
             tokio::join!(clients.drain(), leave);
             if let Some(permits) = &permits {
                 permits.left().await;
             }
+            if let Some(members) = &members {
+                members.leave().await;
+            }
         }
         () = loads => {}
         _ = obey => return Err("the control thread ended".into()),
@@ -320,6 +342,50 @@
     Ok(())
 }
 
+/// Waits until the node is to end and, where permits are on, may. It serves until then. A signal is waited for as long
+/// as the configuration says or until the next one; an operator's drain until it is granted or taken back.
+async fn may_stop(stop: impl std::future::Future<Output = ()>, fleet: &Fleet) {
+    let mut stop = std::pin::pin!(stop);
+    loop {
+        let signal = tokio::select! {
+            () = &mut stop => true,
+            () = fleet.drain_is(true) => false,
+        };
+        let Some(permits) = &fleet.permits else { return };
+        if !signal {
+            let hurry = async {
+                (&mut stop).await;
+                "told to end meanwhile"
+            };
+            tokio::select! {
+                _ = permits.may_go(hurry) => return,
+                () = fleet.drain_is(false) => {}
+            }
+            permits.stay().await;
+            continue;
+        }
+        let again = async {
+            match signal_stream() {
+                Some(mut again) => drop(again.recv().await),
+                None => std::future::pending().await,
+            }
+        };
+        let hurry = async {
+            tokio::select! {
+                () = tokio::time::sleep(permits.wait()) => "not granted in time",
+                () = again => "told to end a second time",
+            }
+        };
+        permits.may_go(hurry).await;
+        return;
+    }
+}
+
+/// SIGTERM from now on.
+fn signal_stream() -> Option<tokio::signal::unix::Signal> {
+    tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).ok()
+}
+
 /// Logs how the session with the coordination service stands, when that changes.
 async fn tell_session(mut status: watch::Receiver<Status>) {
     let mut told = None;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,7 +11,7 @@
 //! - `front` owns client connections; it knows the protocol, finds the tenant and asks for room.
 //! - `pool` owns one decision module and carries its actions out; `upstream` owns connections to servers.
 //! - [`hosted`] is many tenants in one node: its directory, and the control thread with catalogue and store.
-//! - [`fleet`] is this node as one of many: when it may be out.
+//! - [`fleet`] is this node as one of many: who lives, and when it may be out.
 //! - [`store`] is where the catalogue lasts.
 //! - [`platform`] is the platform's node: one tenant, one pool, `BALANCER_CONFIG`.
 //!
@@ -36,6 +36,8 @@
 pub mod hosted;
 mod log;
 mod meter;
+#[cfg(feature = "hosted")]
+mod operate;
 mod peers;
 pub mod platform;
 mod pool;
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -80,7 +80,8 @@
 }
 
 impl Budget {
-    fn allows(&self, members: u32) -> u32 {
+    /// How many of so many members may be out.
+    pub fn allows(&self, members: u32) -> u32 {
         let most = match self.most_out {
             Most::Count(count) => count,
             Most::Percent(percent) => (u64::from(members) * u64::from(percent.min(100)) / 100) as u32,
@@ -219,6 +220,20 @@
     },
     /// Nothing more is granted until it is lifted by `None`.
     Freeze(Option<String>),
+    /// An operator gives other bounds. What is out already stays out; nothing more goes until it fits.
+    Bounds(Bounds),
+}
+
+/// The bounds of a ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Who may be out.
+    pub budgets: Vec<Budget>,
+    /// How long a return is held before it counts, in milliseconds.
+    pub hold_ms: Millis,
+    /// How long a grant may wait for its `Begin`, in milliseconds.
+    pub act_ms: Millis,
 }
 
 /// Why a command was not taken.
@@ -300,6 +315,25 @@
     pub kept: Vec<Kept>,
 }
 
+impl std::fmt::Display for Scope {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Scope::Fleet => f.write_str("fleet"),
+            Scope::Zone(name) => write!(f, "zone {name}"),
+            Scope::Pool(name) => write!(f, "pool {name}"),
+        }
+    }
+}
+
+impl std::fmt::Display for Most {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Most::Count(count) => write!(f, "{count}"),
+            Most::Percent(part) => write!(f, "{part}%"),
+        }
+    }
+}
+
 impl Ledger {
     /// A ledger with these budgets.
     ///
@@ -313,6 +347,19 @@
         if scopes.len() < budgets.len() {
             return Err(Refusal::Bound("two budgets for one scope: give one".into()));
         }
+        let percent =
+            |budget: &Budget| matches!(budget.most_out, Most::Percent(part) if !(1..=100).contains(&part));
+        if budgets.iter().any(percent) {
+            return Err(Refusal::Bound("a part of a scope is 1 to 100 percent".into()));
+        }
+        for budget in &budgets {
+            if let Scope::Zone(name) | Scope::Pool(name) = &budget.scope {
+                bounded(name)?;
+            }
+        }
+        if act_ms == 0 {
+            return Err(Refusal::Bound("act_ms is 0: a grant could never be begun; give 1 or more".into()));
+        }
         Ok(Ledger { budgets, hold_ms, act_ms, ..Ledger::default() })
     }
 
@@ -403,6 +450,12 @@
                 self.frozen = reason.map(|reason| bounded(&reason)).transpose()?;
                 Ok(())
             }
+            Command::Bounds(Bounds { budgets, hold_ms, act_ms }) => {
+                let checked = Ledger::new(budgets, hold_ms, act_ms)?;
+                (self.budgets, self.hold_ms, self.act_ms) =
+                    (checked.budgets, checked.hold_ms, checked.act_ms);
+                Ok(())
+            }
         }
     }
 
@@ -420,10 +473,8 @@
         for (budget, members) in self.budgets_of(scene, &holder) {
             if budget.allows(members) == 0 {
                 let (scope, least) = (&budget.scope, budget.least_up);
-                let why = format!(
-                    "{scope:?} has {members} members, {:?} may be out, {least} stay up",
-                    budget.most_out
-                );
+                let why =
+                    format!("{scope} has {members} members, {} may be out, {least} stay up", budget.most_out);
                 return Err(Refusal::Never { holder, why });
             }
         }
--- a/crates/testkit/src/coordination/wire.rs
+++ b/crates/testkit/src/coordination/wire.rs
@@ -22,6 +22,8 @@
 const XID_EVENT: i32 = -1;
 /// The code of what is not understood (`Unimplemented`) and cannot be read (`MarshallingError`).
 const UNIMPLEMENTED: i32 = -6;
+/// `KeeperException.Code.NOTREADONLY`.
+const NOT_READ_ONLY: i32 = -119;
 const UNREADABLE: i32 = -5;
 
 /// Reads the fields of a record.
@@ -167,6 +169,8 @@
     /// Addresses that take no connections.
     refused: HashSet<SocketAddr>,
     cut: Option<(i32, Cut)>,
+    /// Without a quorum: reads are served, writes refused.
+    minority: bool,
     /// The next event is lost, with the connection that it was for.
     lose_event: bool,
     /// Answers to pings that are held, while they are.
@@ -372,6 +376,12 @@
         });
     }
 
+    /// Serves reads and refuses writes from now on, as a member that has lost its quorum does for clients that take
+    /// it; or takes writes again.
+    pub fn minority(&self, minority: bool) {
+        self.shared.with(|state| state.minority = minority);
+    }
+
     /// Cuts the connection on which the next request of this type comes ([`op`]).
     pub fn cut(&self, kind: i32, cut: Cut) {
         self.shared.with(|state| state.cut = Some((kind, cut)));
@@ -536,6 +546,7 @@
                 ended = true;
                 Ok(Record::default())
             }
+            1 | 2 | 5 | 13 | 14 | 15 if state.minority => Err(NOT_READ_ONLY),
             _ => carry_out(state, now, session, kind, fields),
         };
         if cut == Some(Cut::Unanswered) {
--- /dev/null
+++ b/crates/testkit/src/fleet/mod.rs
@@ -0,0 +1,565 @@
+//! A fleet of real processes with faults between them, on loopback.
+//!
+//! ```text
+//!                    ┌─ Wire a node ─▶ Coordination (stand-in)
+//!   Rig ─ processes ─┼─ Switch ──────▶ one another (UDP)          Scenario (TOML) ─▶ play ─▶ Rig
+//!     │              └─ Wire a node and server ─▶ Backends                                   │
+//!     └─ log (all lines, in time order), ledger as the service has it, Timeline (SVG) ◀──────┘
+//! ```
+//!
+//! Each process has its own configuration and its own link to everything else, so that any of them can be cut, slowed
+//! or made lossy, one way or both. All that was started is ended when the rig is dropped. What the nodes say (their
+//! administration API) can be held against what the rig knows: which processes run, and what the ledger at the service is.
+
+pub mod scenario;
+pub mod timeline;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde::Deserialize;
+use serde_json::Value;
+use woodgap_permits::{Ledger, Phase};
+
+use crate::admin::Admin;
+use crate::backend::{Backend, Does};
+use crate::coordination::wire::Coordination;
+use crate::hosted::{tokens, OPERATOR};
+use crate::links::{Ails, Switch, Wire};
+use timeline::Timeline;
+
+/// Lines that are kept of all logs, at most; the oldest go.
+pub const MOST_LINES: usize = 200_000;
+/// For a process to listen.
+const START: Duration = Duration::from_secs(30);
+
+/// How a fleet is made.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Made {
+    /// Nodes: `n1`, `n2` and so on.
+    pub nodes: usize,
+    /// Their zones, in turn.
+    pub zones: Vec<String>,
+    /// Server stand-ins, each behind a link of each node.
+    pub servers: usize,
+    /// Between two probes, in milliseconds.
+    pub interval_ms: u64,
+    /// Whether `[fleet]` is on. Without it who is registered is up.
+    pub fleet: bool,
+    /// Whether datagrams are authenticated.
+    pub keys: bool,
+    /// Whether `[permits]` is on.
+    pub permits: bool,
+    /// Most out at once: so many or a part.
+    pub most_out: String,
+    /// Most out of a zone, if that has a budget.
+    pub zone_most_out: Option<String>,
+    /// Least left up.
+    pub least_up: u32,
+    /// How long a return is held, in seconds.
+    pub hold_s: u32,
+    /// How long a grant may wait for its node to begin, in seconds.
+    pub act_s: u32,
+    /// How long a node that is told to end waits for a permit, in seconds.
+    pub wait_s: u32,
+    /// Time-out of sessions with the coordination service, in milliseconds.
+    pub session_ms: u64,
+    /// For all that is by chance.
+    pub seed: u64,
+}
+
+impl Default for Made {
+    fn default() -> Self {
+        Made {
+            nodes: 3,
+            zones: vec!["a".to_owned()],
+            servers: 0,
+            interval_ms: 100,
+            fleet: true,
+            keys: true,
+            permits: true,
+            most_out: "1".to_owned(),
+            zone_most_out: None,
+            least_up: 1,
+            hold_s: 1,
+            act_s: 5,
+            wait_s: 60,
+            session_ms: 4_000,
+            seed: 1,
+        }
+    }
+}
+
+/// A line that a process wrote.
+#[derive(Clone, Debug)]
+pub struct Said {
+    /// Since the rig's start.
+    pub at: Duration,
+    /// Which node.
+    pub node: String,
+    /// The line.
+    pub line: String,
+}
+
+/// A running process of a node.
+struct Process {
+    child: Child,
+    stopped: bool,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A node of the fleet, whether it runs or not.
+struct Place {
+    folder: tempfile::TempDir,
+    zone: String,
+    process: Option<Process>,
+    /// Its link to the coordination service.
+    service: Wire,
+    /// Its links to the servers.
+    servers: Vec<Wire>,
+    listens: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
+}
+
+type Log = Arc<Mutex<Vec<Said>>>;
+
+/// The fleet.
+pub struct Rig {
+    /// How it was made.
+    pub made: Made,
+    /// The coordination service, as all have it.
+    pub service: Coordination,
+    /// Server stand-ins.
+    pub backends: Vec<Backend>,
+    /// Datagrams between the nodes.
+    pub switch: Switch,
+    /// Who was up, out and told.
+    pub timeline: Timeline,
+    places: BTreeMap<String, Place>,
+    program: PathBuf,
+    start: Instant,
+    log: Log,
+    ports: BTreeMap<String, SocketAddr>,
+}
+
+/// What went wrong with the rig itself, or what does not hold.
+pub type Failed = Box<dyn std::error::Error + Send + Sync>;
+
+/// The name of a node, from 0.
+pub fn name(node: usize) -> String {
+    format!("n{}", node + 1)
+}
+
+fn until_listens(child: &mut Child, node: &str, log: &Log, start: Instant) -> Result<Listens, Failed> {
+    let stderr = child.stderr.take().ok_or("no log")?;
+    let (tell, told) = std::sync::mpsc::channel();
+    let (log, node) = (log.clone(), node.to_owned());
+    std::thread::spawn(move || {
+        let mut found = Listens::default();
+        for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            let after = |word: &str| line.split_once(word).and_then(|(_, at)| at.parse().ok());
+            found.fleet = found.fleet.or(after("is one of a fleet at "));
+            found.admin = found.admin.or(after("is administered on "));
+            if let Some(addr) = after("listens on ") {
+                found.addr = Some(addr);
+                let _ = tell.send(found.clone());
+            }
+            let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            if log.len() >= MOST_LINES {
+                log.drain(..MOST_LINES / 10);
+            }
+            log.push(Said { at: start.elapsed(), node: node.clone(), line });
+        }
+    });
+    told.recv_timeout(START).map_err(|_| "it did not listen: see the log".into())
+}
+
+#[derive(Clone, Debug, Default)]
+struct Listens {
+    addr: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
+    fleet: Option<SocketAddr>,
+}
+
+impl Rig {
+    /// A fleet whose nodes do not run yet. `program` is `woodgap`.
+    ///
+    /// # Errors
+    /// Where ports or folders cannot be had.
+    pub async fn new(program: &Path, made: Made) -> Result<Rig, Failed> {
+        let service = Coordination::start("127.0.0.1:0".parse()?).await?;
+        let mut switch = Switch::new(made.seed);
+        let mut backends = Vec::new();
+        for _ in 0..made.servers {
+            backends.push(Backend::start(Does::Serve(Duration::from_millis(2))).await?);
+        }
+        let (mut places, mut ports) = (BTreeMap::new(), BTreeMap::new());
+        for node in 0..made.nodes {
+            let seed = made.seed.wrapping_add(node as u64);
+            let mut servers = Vec::new();
+            for backend in &backends {
+                servers.push(Wire::start(backend.addr, seed).await?);
+            }
+            let place = Place {
+                folder: tempfile::tempdir()?,
+                zone: made.zones.get(node % made.zones.len().max(1)).cloned().unwrap_or_default(),
+                process: None,
+                service: Wire::start(service.addr, seed).await?,
+                servers,
+                listens: None,
+                admin: None,
+            };
+            tokens(&place.folder.path().join("tokens.toml"))?;
+            ports.insert(name(node), switch.port(&name(node)).await?);
+            places.insert(name(node), place);
+        }
+        let start = Instant::now();
+        let (timeline, log) = (Timeline::new(start), Log::default());
+        let program = program.to_owned();
+        let rig = Rig { made, service, backends, switch, timeline, places, program, start, log, ports };
+        for node in rig.names() {
+            rig.keys(&node, "1 0123456789abcdef0123456789abcdef")?;
+            rig.configure(&node, |_| {})?;
+        }
+        Ok(rig)
+    }
+
+    /// The same, and all nodes run and know one another.
+    ///
+    /// # Errors
+    /// Where one does not start, or they do not find one another.
+    pub async fn started(program: &Path, made: Made) -> Result<Rig, Failed> {
+        let mut rig = Rig::new(program, made).await?;
+        for node in rig.names() {
+            rig.start(&node)?;
+        }
+        rig.together(START).await?;
+        Ok(rig)
+    }
+
+    /// Waits until all that run know one another and are on the roster.
+    ///
+    /// # Errors
+    /// Who does not, after this time.
+    pub async fn together(&self, within: Duration) -> Result<(), Failed> {
+        let running = self.running();
+        let until = Instant::now() + within;
+        loop {
+            let mut lacks = Vec::new();
+            for node in &running {
+                let alive = self.alive(node).await;
+                if self.made.fleet && alive.as_ref() != Some(&running) {
+                    lacks.push(format!("{node} holds {alive:?} for alive"));
+                }
+            }
+            let roster: BTreeSet<String> = self.ledger().roster.into_keys().collect();
+            if self.made.permits && !running.is_subset(&roster) {
+                lacks.push(format!("on the roster are {roster:?}"));
+            }
+            if lacks.is_empty() {
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                return Err(format!("not together: {}", lacks.join("; ")).into());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Whom a node holds for alive and ready; `None` where it does not answer.
+    pub async fn alive(&self, node: &str) -> Option<BTreeSet<String>> {
+        let view = self.view(node).await?;
+        let members = view.get("members")?.as_array()?.clone();
+        let ready = |member: &&Value| member["life"] == "alive" && member["phase"] == "ready";
+        Some(members.iter().filter(ready).filter_map(|m| Some(m["name"].as_str()?.to_owned())).collect())
+    }
+
+    /// What a node says of the fleet; `None` where it does not answer.
+    pub async fn view(&self, node: &str) -> Option<Value> {
+        let admin = self.admin(node)?;
+        let asked = tokio::time::timeout(Duration::from_millis(500), admin.get("fleet")).await;
+        asked.ok()?.ok().filter(|reply| reply.status == 200).map(|reply| reply.body)
+    }
+
+    /// The administration API of a node that runs.
+    pub fn admin(&self, node: &str) -> Option<Admin> {
+        let place = self.places.get(node).filter(|place| place.process.is_some())?;
+        Some(Admin { addr: place.admin?, secret: OPERATOR.to_owned() })
+    }
+
+    /// Where a node that runs takes requests.
+    pub fn addr(&self, node: &str) -> Option<SocketAddr> {
+        self.places.get(node).filter(|place| place.process.is_some())?.listens
+    }
+
+    /// The folder of a node: its configuration, tokens and keys.
+    pub fn folder(&self, node: &str) -> Option<&Path> {
+        Some(self.places.get(node)?.folder.path())
+    }
+
+    /// All nodes.
+    pub fn names(&self) -> Vec<String> {
+        self.places.keys().cloned().collect()
+    }
+
+    /// Those whose processes run and are not stopped.
+    pub fn running(&self) -> BTreeSet<String> {
+        let runs = |place: &Place| place.process.as_ref().is_some_and(|process| !process.stopped);
+        self.places.iter().filter(|(_, place)| runs(place)).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// The ledger as the service has it.
+    pub fn ledger(&self) -> Ledger {
+        let found = self.service.node("/permits");
+        found.and_then(|(text, _)| serde_json::from_slice(&text).ok()).unwrap_or_default()
+    }
+
+    /// How far a node's permit is, as the service has it.
+    pub fn phase(&self, node: &str) -> Option<Phase> {
+        self.ledger().of(node).map(|permit| permit.phase)
+    }
+
+    /// All that was said, in time order.
+    pub fn log(&self) -> String {
+        let mut said = self.log.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        said.sort_by_key(|said| said.at);
+        said.iter().fold(String::new(), |mut text, Said { at, node, line }| {
+            let _ = writeln!(text, "{:9.3} {node} {line}", at.as_secs_f64());
+            text
+        })
+    }
+
+    /// Whether a node has said this.
+    pub fn said(&self, node: &str, what: &str) -> bool {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.iter().any(|said| said.node == node && said.line.contains(what))
+    }
+
+    /// Writes a node's keys: they are read at its start and at SIGHUP.
+    ///
+    /// # Errors
+    /// As writing has them.
+    pub fn keys(&self, node: &str, keys: &str) -> Result<(), Failed> {
+        let path = self.place(node)?.folder.path().join("fleet.keys");
+        std::fs::write(&path, keys)?;
+        Ok(std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600))?)
+    }
+
+    /// Writes a node's configuration as the rig was made, with a change of that: it holds from its next start on.
+    ///
+    /// # Errors
+    /// As writing has them.
+    pub fn configure(&self, node: &str, change: impl FnOnce(&mut Made)) -> Result<(), Failed> {
+        let place = self.place(node)?;
+        let mut made = self.made.clone();
+        change(&mut made);
+        let number = |text: &str| if text.ends_with('%') { format!("'{text}'") } else { text.to_owned() };
+        let mut text = format!(
+            "name = '{node}'\nnodes = {}\n[limits]\nsockets = 256\n[[listen]]\nname = 'public'\n\
+            address = '127.0.0.1:0'\n[store]\npath = 'catalogue.redb'\n[admin]\nlisten = '127.0.0.1:0'\n\
+            token_file = 'tokens.toml'\n[zookeeper]\naddresses = ['{}']\nsession_ms = {}\n\
+            [zookeeper.register]\npath = '/nodes'\n",
+            made.nodes, place.service.addr, made.session_ms
+        );
+        if made.fleet {
+            let _ = writeln!(text, "[fleet]\nlisten = '127.0.0.1:0'\nzone = '{}'", place.zone);
+            let _ = writeln!(text, "interval_ms = {}", made.interval_ms);
+            if made.keys {
+                text += "keys_file = 'fleet.keys'\n";
+            }
+            text += "[fleet.peers]\n";
+            for (other, port) in self.ports.iter().filter(|(other, _)| *other != node) {
+                let _ = writeln!(text, "{other} = '{port}'");
+            }
+        }
+        if made.permits {
+            let _ = writeln!(text, "[permits]\npath = '/permits'\nzone = '{}'", place.zone);
+            let _ = writeln!(text, "most_out = {}\nleast_up = {}", number(&made.most_out), made.least_up);
+            if let Some(most) = &made.zone_most_out {
+                let _ = writeln!(text, "zone_most_out = {}", number(most));
+            }
+            let Made { hold_s, act_s, wait_s, .. } = made;
+            let _ = writeln!(text, "hold_s = {hold_s}\nact_s = {act_s}\nwait_s = {wait_s}");
+        }
+        Ok(std::fs::write(place.folder.path().join("hosted.toml"), text)?)
+    }
+
+    fn place(&self, node: &str) -> Result<&Place, Failed> {
+        self.places.get(node).ok_or_else(|| format!("there is no node {node}").into())
+    }
+
+    fn place_mut(&mut self, node: &str) -> Result<&mut Place, Failed> {
+        self.places.get_mut(node).ok_or_else(|| format!("there is no node {node}").into())
+    }
+
+    /// Starts a node's process and waits until it listens.
+    ///
+    /// # Errors
+    /// Where it runs already, or does not start.
+    pub fn start(&mut self, node: &str) -> Result<(), Failed> {
+        if self.place(node)?.process.is_some() {
+            return Err(format!("{node} runs already").into());
+        }
+        let mut command = Command::new(&self.program);
+        command.args(["serve", "--config"]).arg(self.place(node)?.folder.path().join("hosted.toml"));
+        command.env_remove("BALANCER_CONFIG").stdin(Stdio::null()).stderr(Stdio::piped());
+        let child = command.spawn().map_err(|error| format!("{}: {error}", self.program.display()))?;
+        let mut process = Process { child, stopped: false };
+        let (log, start) = (self.log.clone(), self.start);
+        let found = until_listens(&mut process.child, node, &log, start)
+            .map_err(|error| format!("{node}: {error}\n{}", self.log()))?;
+        if let Some(addr) = found.fleet {
+            self.switch.plug(node, addr);
+        }
+        let place = self.place_mut(node)?;
+        (place.process, place.listens, place.admin) = (Some(process), found.addr, found.admin);
+        self.timeline.up(node, true);
+        Ok(())
+    }
+
+    fn signal(&mut self, node: &str, signal: Signal) -> Result<(), Failed> {
+        let place = self.place_mut(node)?;
+        let process = place.process.as_mut().ok_or_else(|| format!("{node} does not run"))?;
+        process.stopped = match signal {
+            Signal::STOP => true,
+            Signal::CONT => false,
+            _ => process.stopped,
+        };
+        let pid = Pid::from_raw(process.child.id() as i32).ok_or("no process id")?;
+        kill_process(pid, signal)?;
+        self.timeline.note(node, &format!("{signal:?}"));
+        Ok(())
+    }
+
+    /// Tells a node to end.
+    ///
+    /// # Errors
+    /// Where it does not run.
+    pub fn term(&mut self, node: &str) -> Result<(), Failed> {
+        self.signal(node, Signal::TERM)
+    }
+
+    /// Has a node read its keys again.
+    ///
+    /// # Errors
+    /// Where it does not run.
+    pub fn hangup(&mut self, node: &str) -> Result<(), Failed> {
+        self.signal(node, Signal::HUP)
+    }
+
+    /// Kills a node.
+    ///
+    /// # Errors
+    /// Where it does not run.
+    pub fn kill(&mut self, node: &str) -> Result<(), Failed> {
+        self.signal(node, Signal::KILL)?;
+        let place = self.place_mut(node)?;
+        if let Some(mut process) = place.process.take() {
+            process.child.wait()?;
+        }
+        self.timeline.up(node, false);
+        Ok(())
+    }
+
+    /// Stops a node: it does not run, and its sockets stay.
+    ///
+    /// # Errors
+    /// Where it does not run.
+    pub fn stop(&mut self, node: &str) -> Result<(), Failed> {
+        self.signal(node, Signal::STOP)?;
+        self.timeline.up(node, false);
+        Ok(())
+    }
+
+    /// A stopped node goes on.
+    ///
+    /// # Errors
+    /// Where it does not run.
+    pub fn cont(&mut self, node: &str) -> Result<(), Failed> {
+        self.signal(node, Signal::CONT)?;
+        self.timeline.up(node, true);
+        Ok(())
+    }
+
+    /// How a node's process ended, if it did by itself.
+    pub fn ended(&mut self, node: &str) -> Option<ExitStatus> {
+        let place = self.places.get_mut(node)?;
+        let ended = place.process.as_mut()?.child.try_wait().ok().flatten()?;
+        place.process = None;
+        self.timeline.up(node, false);
+        Some(ended)
+    }
+
+    /// The session of a node that is registered.
+    pub fn session(&self, node: &str) -> Option<i64> {
+        let end = format!("/{node}");
+        self.service.owners("/nodes").into_iter().find(|(path, _)| path.ends_with(&end)).map(|(_, id)| id)
+    }
+
+    /// What ails the way between two groups of nodes, both ways or from the first to the second alone.
+    pub fn between(&self, some: &[String], others: &[String], ails: Ails, one_way: bool) {
+        for (from, to) in some.iter().flat_map(|from| others.iter().map(move |to| (from, to))) {
+            self.switch.ails(from, to, ails);
+            if !one_way {
+                self.switch.ails(to, from, ails);
+            }
+        }
+    }
+
+    /// What ails a node's way to the coordination service and back.
+    ///
+    /// # Errors
+    /// Where there is no such node.
+    pub fn to_service(&self, node: &str, up: Ails, down: Ails) -> Result<(), Failed> {
+        self.place(node)?.service.ails(up, down);
+        Ok(())
+    }
+
+    /// What ails a node's way to a server and back.
+    ///
+    /// # Errors
+    /// Where there is no such node or server.
+    pub fn to_server(&self, node: &str, server: usize, up: Ails, down: Ails) -> Result<(), Failed> {
+        let wire = self.place(node)?.servers.get(server).ok_or("there is no such server")?;
+        wire.ails(up, down);
+        Ok(())
+    }
+
+    /// Where a node reaches a server.
+    pub fn server(&self, node: &str, server: usize) -> Option<SocketAddr> {
+        Some(self.places.get(node)?.servers.get(server)?.addr)
+    }
+
+    /// Nothing ails any link.
+    pub fn heal(&self) {
+        self.switch.heal();
+        for place in self.places.values() {
+            place.service.ails(Ails::default(), Ails::default());
+            place.servers.iter().for_each(|wire| wire.ails(Ails::default(), Ails::default()));
+        }
+    }
+
+    /// Notes who is out by the ledger, for the timeline; how many are, by permits that were not forced.
+    pub fn sample(&mut self) -> usize {
+        let ledger = self.ledger();
+        let out = ledger.permits.iter().filter(|permit| permit.phase != Phase::Asked);
+        let holders: BTreeSet<String> = out.clone().map(|permit| permit.holder.clone()).collect();
+        self.timeline.out(&holders);
+        out.filter(|permit| permit.forced.is_none()).count()
+    }
+}
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -105,6 +105,8 @@
             zookeeper: None,
             authorities: None,
             admission: None,
+            fleet: None,
+            digest: 0,
             permits: None,
         };
         change(&mut config);
