Drain a server at all nodes by one word, safe to stop only when every node has said so

[permits.servers]: numbered orders at the service, barred in every pool's list, told of in each node's own word; an end is proven by session, verdict, a majority and time, and a node fences itself for it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -89,6 +89,8 @@
     pub role: String,
     /// How far it is.
     pub phase: Phase,
+    /// Up to which order to drain servers it has done all: see `woodgap_permits::servers`.
+    pub done: u32,
 }
 
 /// Whether a node lives.
@@ -166,17 +168,12 @@
 }
 
 impl Settings {
-    /// These, so many times as fast.
-    #[must_use]
-    pub fn faster(self, times: u64) -> Settings {
-        let part = |time: Millis| (time / times.max(1)).max(1);
-        Settings {
-            interval: part(self.interval),
-            timeout: part(self.timeout),
-            gossip: part(self.gossip),
-            isolated: part(self.isolated),
-            ..self
-        }
+    /// The longest that a member can hold others for alive, or itself for one of them, that it hears no more, among so many
+    /// members: the longest suspicion, of one that doubts itself most, and the time until it is isolated.
+    pub fn longest_suspicion(&self, members: usize) -> Millis {
+        let least = self.suspicion * (members as f64).log10().max(1.0) * self.interval as f64;
+        let most = least * self.patience * f64::from(MOST_DOUBT + 1);
+        most as Millis + self.isolated + (2 + Millis::from(MOST_DOUBT)) * self.interval
     }
 }
 
@@ -941,13 +938,13 @@
 
     fn learn(&mut self, now: Millis, update: &Update<'_>, page: bool) {
         match *update {
-            Update::Alive { name, incarnation, boot, addr, zone, version, config, role, phase } => {
+            Update::Alive { name, incarnation, boot, addr, zone, version, config, role, phase, done } => {
                 if *name == *self.me {
                     self.outdo(incarnation, boot);
                     return;
                 }
                 let (zone, version, role) = (zone.to_owned(), version.to_owned(), role.to_owned());
-                let facts = Facts { boot, addr, zone, version, config, role, phase };
+                let facts = Facts { boot, addr, zone, version, config, role, phase, done };
                 let Some((name, member)) = self.members.get_key_value(name) else {
                     self.join(now, name, incarnation, facts, !page);
                     return;
@@ -1233,7 +1230,7 @@
 }
 
 fn word<'a>(name: &'a str, member: &'a Member) -> Update<'a> {
-    let Facts { boot, addr, zone, version, config, role, phase } = &member.facts;
+    let Facts { boot, addr, zone, version, config, role, phase, done } = &member.facts;
     Update::Alive {
         name,
         incarnation: member.incarnation,
@@ -1244,6 +1241,7 @@
         config: *config,
         role,
         phase: *phase,
+        done: *done,
     }
 }
 
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -25,7 +25,7 @@
 /// Bytes of a datagram, at most: as many as the platform's peers carry.
 pub const LONGEST: usize = 256;
 /// Bytes of a node's name, at most.
-pub const LONGEST_NAME: usize = 36;
+pub const LONGEST_NAME: usize = 34;
 /// Bytes of a zone's name, at most.
 pub const LONGEST_ZONE: usize = 20;
 /// Bytes of the program's version, at most.
@@ -223,6 +223,8 @@
         role: &'a str,
         /// How far it is.
         phase: Phase,
+        /// Up to which order it has done all.
+        done: u32,
     },
     /// It did not answer.
     Suspect {
--- a/crates/node/src/admin/api.rs
+++ b/crates/node/src/admin/api.rs
@@ -680,7 +680,7 @@
         let text = serde_json::to_value(description()).unwrap();
         assert!(text["openapi"].as_str().unwrap().starts_with("3.1"), "{}", text["openapi"]);
         let paths = text["paths"].as_object().unwrap();
-        assert_eq!(paths.len(), 15);
+        assert_eq!(paths.len(), 17);
         assert!(paths["/v1/tenants/{tenant}"].get("put").is_some());
         let fields = &text["components"]["schemas"]["TenantSpec"]["properties"];
         assert!(fields.get("quota_per_s").is_some() && fields.get("match").is_some(), "{fields}");
--- a/crates/node/src/admin/fleet.rs
+++ b/crates/node/src/admin/fleet.rs
@@ -9,13 +9,14 @@
 use axum::{Extension, Json, Router};
 use serde::{Deserialize, Serialize};
 use utoipa::{OpenApi, ToSchema};
+use woodgap_permits::servers::{Answer as Answered, Order};
 use woodgap_permits::{Bounds, Budget, Command, Kept, Most, Phase, Refusal, Scope};
 
 use super::api::{document, Answer, Api};
 use super::auth::Caller;
 use super::problem::Problem;
 use crate::fleet::permits::{No, Standing, Tag};
-use crate::fleet::Permits;
+use crate::fleet::{Drains, Permits};
 
 /// A member of the fleet, as this node sees it.
 #[derive(Debug, Serialize, ToSchema)]
@@ -180,7 +181,22 @@
 
 /// The paths of the fleet, to be merged into the description of the API.
 #[derive(OpenApi)]
-#[openapi(paths(fleet, get_bounds, set_bounds, freeze, thaw, cancel, force, forget, strike, drain, stay))]
+#[openapi(paths(
+    fleet,
+    get_bounds,
+    set_bounds,
+    freeze,
+    thaw,
+    cancel,
+    force,
+    forget,
+    strike,
+    drain,
+    stay,
+    servers,
+    drain_server,
+    take_back
+))]
 pub(super) struct Description;
 
 pub(super) fn router() -> Router<Api> {
@@ -193,6 +209,8 @@
         .route("/v1/fleet/permits/{holder}/forget", post(forget))
         .route("/v1/fleet/members/{member}/strike", post(strike))
         .route("/v1/drain", put(drain).delete(stay))
+        .route("/v1/servers", get(servers))
+        .route("/v1/servers/{address}/drain", put(drain_server).delete(take_back))
 }
 
 impl From<No> for Problem {
@@ -526,3 +544,106 @@
     api.control.fleet.drain(false);
     Ok(StatusCode::ACCEPTED.into_response())
 }
+
+/// A server with an order.
+#[derive(Debug, Serialize, ToSchema)]
+struct ServerLine {
+    /// Where it listens.
+    address: String,
+    /// The order's number.
+    number: u64,
+    /// Since when, Unix time in milliseconds by the clock of who wrote it.
+    since_ms: u64,
+    /// Why.
+    reason: String,
+    /// `safe`: it may be stopped. `waits`: these nodes have not finished there. `not_known`: these may still send there,
+    /// and nobody can tell. `back`: it takes work again.
+    state: String,
+    /// Which nodes.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    nodes: Vec<String>,
+}
+
+/// The servers with an order.
+#[derive(Debug, Serialize, ToSchema)]
+struct ServersDocument {
+    /// By address.
+    servers: Vec<ServerLine>,
+}
+
+fn drains(api: &Api) -> Result<&Drains, Problem> {
+    let none = || {
+        let detail = "this node takes no part in servers' drains: see [permits.servers] in its configuration";
+        Problem::new(StatusCode::NOT_FOUND, detail)
+    };
+    api.control.fleet.drains.as_ref().ok_or_else(none)
+}
+
+fn servers_document(drains: &Drains) -> Result<ServersDocument, Problem> {
+    let (orders, answers) = drains.answers()?;
+    let line = |(address, order): (&String, &Order)| {
+        let (state, nodes) = match answers.get(address) {
+            None => ("back", Vec::new()),
+            Some(Answered::Safe) => ("safe", Vec::new()),
+            Some(Answered::Waits { nodes }) => ("waits", nodes.clone()),
+            Some(Answered::NotKnown { nodes }) => ("not_known", nodes.clone()),
+        };
+        ServerLine {
+            address: address.clone(),
+            number: order.number,
+            since_ms: order.since,
+            reason: order.reason.clone(),
+            state: state.to_owned(),
+            nodes,
+        }
+    };
+    Ok(ServersDocument { servers: orders.servers.iter().map(line).collect() })
+}
+
+/// Servers that drain at all nodes, and whether they may be stopped.
+#[utoipa::path(get, path = "/v1/servers",
+    responses((status = 200, body = ServersDocument), (status = "default", body = Problem)))]
+async fn servers(State(api): State<Api>, Extension(caller): Extension<Caller>) -> Answer {
+    caller.operates()?;
+    Ok(Json(servers_document(drains(&api)?)?).into_response())
+}
+
+async fn order(api: &Api, caller: &Caller, address: &str, reason: String, back: bool) -> Answer {
+    caller.operates()?;
+    let drains = drains(api)?;
+    let server: std::net::SocketAddr = address.parse().map_err(|_| {
+        let right = "give the server's address and port as the nodes have it, such as 10.0.0.7:8080";
+        Problem::field(StatusCode::UNPROCESSABLE_ENTITY, "address", right)
+    })?;
+    let number = drains.order(server, reason, back).await?;
+    let what = if back { "takes back" } else { "drains" };
+    crate::log::line(format_args!("drains: {} {what} {server}, order {number}", caller.name));
+    Ok((StatusCode::ACCEPTED, Json(serde_json::json!({ "number": number }))).into_response())
+}
+
+/// Drains a server at all nodes: nothing new goes there, and `/v1/servers` says when it may be stopped.
+#[utoipa::path(put, path = "/v1/servers/{address}/drain", params(("address" = String, Path)),
+    request_body = Reason,
+    responses((status = 202, description = "it is ordered"), (status = "default", body = Problem)))]
+async fn drain_server(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(address): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Answer {
+    let reason = reason(&caller, &headers, body).await?;
+    order(&api, &caller, &address, reason, false).await
+}
+
+/// Takes a server back: all nodes treat it as one that starts now.
+#[utoipa::path(delete, path = "/v1/servers/{address}/drain", params(("address" = String, Path)),
+    responses((status = 202, description = "it is ordered"), (status = "default", body = Problem)))]
+async fn take_back(
+    State(api): State<Api>,
+    Extension(caller): Extension<Caller>,
+    Path(address): Path<String>,
+) -> Answer {
+    let reason = format!("taken back ({})", caller.name);
+    order(&api, &caller, &address, reason, true).await
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -39,14 +39,20 @@
         #[arg(long)]
         json: bool,
     },
-    /// Has a node ask to be out, drain and end, and tells how far that is.
+    /// Has a node ask to be out, drain and end, or a server drain at all nodes, and tells how far that is.
     Drain {
         #[command(flatten)]
         node: operate::Node,
-        /// Takes it back, where the node has not begun.
+        /// A server, as ADDRESS:PORT: all nodes stop new work there. Ends once it may be stopped.
+        #[arg(long)]
+        server: Option<std::net::SocketAddr>,
+        /// Why a server drains: it is kept.
+        #[arg(long, requires = "server")]
+        reason: Option<String>,
+        /// Takes it back: a server at any time, a node where it has not begun.
         #[arg(long)]
         cancel: bool,
-        /// How long to wait for its end, in seconds; the node goes on with it all the same.
+        /// How long to wait for that, in seconds; it goes on all the same.
         #[arg(long, default_value_t = 600)]
         wait_s: u64,
     },
@@ -114,7 +120,10 @@
         Some(Command::Serve { config }) => serve(&config),
         Some(Command::Check { config }) => check(&config),
         Some(Command::Fleet { node, what, json }) => operate::fleet(&node, what, json),
-        Some(Command::Drain { node, cancel, wait_s }) => operate::drain(&node, cancel, wait_s),
+        Some(Command::Drain { node, server: Some(server), reason, cancel, wait_s }) => {
+            operate::drain_server(&node, server, reason, cancel, wait_s)
+        }
+        Some(Command::Drain { node, cancel, wait_s, .. }) => operate::drain(&node, cancel, wait_s),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -112,6 +112,8 @@
     pub incarnation: u64,
     /// Who suspects it.
     pub suspected_by: Vec<String>,
+    /// Up to which order to drain servers it has done all.
+    pub done: u32,
 }
 
 /// The fleet, as this node sees it.
@@ -143,6 +145,7 @@
 
 enum Word {
     Phase(Phase),
+    Done(u32),
     Keys(Keys),
     Leave(tokio::sync::oneshot::Sender<()>),
 }
@@ -153,6 +156,7 @@
     view: watch::Receiver<View>,
     words: mpsc::Sender<Word>,
     keys: Option<PathBuf>,
+    settings: Settings,
 }
 
 impl Members {
@@ -174,13 +178,14 @@
             config: digest,
             role: "node".to_owned(),
             phase: Phase::Starting,
+            done: 0,
         };
         let known = config.peers.iter().map(|(name, addr)| (Arc::from(name.as_str()), *addr)).collect();
         let fleet = Fleet::new(0, name, facts, known, keys, config.settings(), fastrand::u64(..));
         let (tell, view) = watch::channel(look(&fleet, 0));
         let (words, heard) = mpsc::channel(WORDS);
         tokio::task::spawn_local(keep(fleet, socket, tell, heard));
-        Ok(Members { view, words, keys: config.keys.clone() })
+        Ok(Members { view, words, keys: config.keys.clone(), settings: config.settings() })
     }
 
     /// What this node sees, and each change of it.
@@ -193,6 +198,16 @@
         let _ = self.words.send(Word::Phase(phase)).await;
     }
 
+    /// Says up to which order to drain servers this node has done all.
+    pub async fn done(&self, done: u32) {
+        let _ = self.words.send(Word::Done(done)).await;
+    }
+
+    /// How long a node may go on without noticing that it hears of nobody, among so many, in milliseconds.
+    pub fn longest_suspicion(&self, members: usize) -> u64 {
+        self.settings.longest_suspicion(members)
+    }
+
     /// Says that it goes, and waits until that was sent.
     pub async fn leave(&self) {
         let (done, sent) = tokio::sync::oneshot::channel();
@@ -226,6 +241,7 @@
         boot_ms: member.facts.boot,
         incarnation: member.incarnation,
         suspected_by: member.by.iter().map(|by| by.to_string()).collect(),
+        done: member.facts.done,
     };
     let standing = match fleet.standing() {
         Standing::Alone => "alone",
@@ -277,6 +293,7 @@
                 changed = true;
                 match word {
                     Some(Word::Phase(phase)) => fleet.say(|facts| facts.phase = phase),
+                    Some(Word::Done(done)) => fleet.say(|facts| facts.done = done),
                     Some(Word::Keys(keys)) => fleet.rekey(keys),
                     Some(Word::Leave(done)) => {
                         fleet.leave();
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //!   zookeeper: names ─ who is registered, without [fleet] ──┤
 //!              board ─ the ledger ──────────────────────────┴─▶ Permits::keep: settle what is due ─▶ board
 //!   SIGTERM, PUT /v1/drain ─▶ Permits::may_go: Ask ─ granted ─ Begin ─▶ the node drains ─▶ Permits::left
+//!   orders to drain servers ─▶ Drains ─▶ Tenants::bar, this node's word of it ─▶ members
 //!   GET /v1/fleet, woodgap fleet ─▶ Fleet: members, ledger, who waits for what
 //! ```
 //!
@@ -13,11 +14,13 @@
 
 pub mod members;
 pub mod permits;
+pub mod servers;
 
 use tokio::sync::watch;
 
 pub use members::{FleetConfig, Members};
 pub use permits::{Permits, PermitsConfig};
+pub use servers::{Drains, DrainsConfig};
 
 /// What the administration API sees of this node's place in the fleet.
 #[derive(Clone)]
@@ -26,13 +29,15 @@
     pub members: Option<Members>,
     /// Who may be out, where `[permits]` is on.
     pub permits: Option<Permits>,
+    /// Which servers drain at all nodes, where `[permits.servers]` is on.
+    pub drains: Option<Drains>,
     drain: watch::Sender<bool>,
 }
 
 impl Fleet {
     /// Of these parts.
-    pub fn new(members: Option<Members>, permits: Option<Permits>) -> Fleet {
-        Fleet { members, permits, drain: watch::Sender::new(false) }
+    pub fn new(members: Option<Members>, permits: Option<Permits>, drains: Option<Drains>) -> Fleet {
+        Fleet { members, permits, drains, drain: watch::Sender::new(false) }
     }
 
     /// This node is to end, or is not any more.
--- a/crates/node/src/fleet/permits.rs
+++ b/crates/node/src/fleet/permits.rs
@@ -12,6 +12,7 @@
 use woodgap_zookeeper::session::Service;
 
 use super::members::{Members, View};
+use super::servers::DrainsConfig;
 use crate::control::now_ms;
 
 /// How long a write may take, with all its tries.
@@ -35,6 +36,8 @@
     pub act: Duration,
     /// How long a node that is to end waits for its permit. Then it goes without one, and is counted so.
     pub wait: Duration,
+    /// Servers' drains at all nodes at once, if there are any.
+    pub servers: Option<DrainsConfig>,
 }
 
 impl PermitsConfig {
@@ -56,6 +59,7 @@
             hold: Duration::from_secs(10),
             act: Duration::from_secs(15),
             wait: Duration::from_secs(20),
+            servers: None,
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/fleet/servers.rs
@@ -0,0 +1,353 @@
+//! Servers that are drained at all nodes at once: orders at the coordination service, carried out here, and told of by
+//! this node's own word in the fleet.
+//!
+//! ```text
+//!   board: orders ─▶ file (the last that were read) ─▶ Tenants::bar ─ 500 ms, nothing in flight ─▶ Members::done
+//!   neither service nor most of the fleet for `alone` ─▶ Tenants::bar: all
+//!   GET /v1/servers ─▶ Drains::answer: roster, view, sessions ─▶ safe, waits, not known
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+use woodgap_fleet::{Life, Phase};
+use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Witness};
+use woodgap_permits::Refusal;
+use woodgap_zookeeper::board::{Board, Seen};
+use woodgap_zookeeper::names::Names;
+use woodgap_zookeeper::session::Service;
+
+use super::members::Members;
+use super::permits::{No, Permits};
+use crate::control::now_ms;
+use crate::hosted::directory::Tenants;
+
+/// How often what is in flight and who is heard is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+/// Nothing new may go to a server from so long after its order was read.
+const STOPPED: Duration = Duration::from_millis(500);
+/// How long a write may take, with all its tries.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Bytes of the file, at most.
+const LONGEST_FILE: u64 = 1 << 20;
+
+/// What the operator's file says of servers' drains.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DrainsConfig {
+    /// Where the orders that were read last are kept.
+    pub file: PathBuf,
+    /// How long this node goes on without the service and without most of the fleet.
+    pub alone: Duration,
+    /// The longest that a request may be on its way.
+    pub longest: Duration,
+}
+
+/// What becomes of a server whatever its sources tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Bar {
+    /// Nothing new goes there.
+    Draining,
+    /// It starts at this Unix time, in milliseconds, if it did not later.
+    Since(u64),
+}
+
+/// What is barred.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Bars {
+    /// Every server: this node may send nothing new at all.
+    pub all: bool,
+    /// By address.
+    pub servers: BTreeMap<SocketAddr, Bar>,
+}
+
+struct Inner {
+    me: String,
+    config: DrainsConfig,
+    board: Board,
+    names: Names,
+    members: Members,
+    permits: Permits,
+    start: Instant,
+    contact: Mutex<Contact>,
+    /// What was read last, now or by an earlier process.
+    orders: Mutex<Orders>,
+}
+
+/// This node's part in servers' drains.
+#[derive(Clone)]
+pub struct Drains(Arc<Inner>);
+
+fn read(path: &Path) -> Result<Orders, String> {
+    let at = path.display();
+    match std::fs::metadata(path) {
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(Orders::default()),
+        Err(error) => return Err(format!("permits.servers.file {at}: {error}")),
+        Ok(meta) if meta.len() > LONGEST_FILE => {
+            return Err(format!("permits.servers.file {at}: {} bytes are no file of ours", meta.len()));
+        }
+        Ok(_) => {}
+    }
+    let text = std::fs::read(path).map_err(|error| format!("permits.servers.file {at}: {error}"))?;
+    let wrong =
+        |error| format!("permits.servers.file {at}: {error}; take it away only where no server drains");
+    serde_json::from_slice(&text).map_err(wrong)
+}
+
+/// Aside, synced, and put in its place: whoever reads it reads one or the other, whole.
+fn write(path: &Path, orders: &Orders) -> std::io::Result<()> {
+    use std::io::Write;
+    let aside = path.with_extension("new");
+    let mut file = std::fs::File::create(&aside)?;
+    file.write_all(&serde_json::to_vec(orders)?)?;
+    file.sync_all()?;
+    std::fs::rename(&aside, path)?;
+    std::fs::File::open(
+        path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new(".")),
+    )?
+    .sync_all()
+}
+
+impl Drains {
+    /// Takes part. `path` is where the orders are, `register` where nodes are.
+    ///
+    /// # Errors
+    /// Where the file is there and cannot be read.
+    pub fn start(
+        service: &Service,
+        config: DrainsConfig,
+        (me, path, register): (String, String, String),
+        members: Members,
+        permits: Permits,
+    ) -> Result<Drains, String> {
+        let orders = read(&config.file)?;
+        let board = Board::start(service, path);
+        let names = Names::start(service, register);
+        let contact = Mutex::new(Contact { service: 0, most: 0 });
+        let (start, orders) = (Instant::now(), Mutex::new(orders));
+        Ok(Drains(Arc::new(Inner { me, config, board, names, members, permits, start, contact, orders })))
+    }
+
+    fn now(&self) -> u64 {
+        self.0.start.elapsed().as_millis() as u64
+    }
+
+    fn orders(&self) -> Orders {
+        self.0.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// What the service has; `None` while that is not known, an error where it can't be read.
+    fn fresh(&self) -> Option<Result<Orders, String>> {
+        match &*self.0.board.seen().borrow() {
+            Seen::Document { text: Some(text), stale: false, .. } => {
+                Some(serde_json::from_slice(text).map_err(|error| error.to_string()))
+            }
+            Seen::Document { text: None, stale: false, .. } => Some(Ok(Orders::default())),
+            _ => None,
+        }
+    }
+
+    /// Waits until the orders were read, or for this long.
+    pub async fn settled(&self, most: Duration) {
+        let mut seen = self.0.board.seen();
+        drop(tokio::time::timeout(most, seen.wait_for(|seen| *seen != Seen::Unknown)).await);
+    }
+
+    /// How many serve by the fleet, and how many there are by the roster.
+    fn most(&self) -> bool {
+        let view = self.0.members.view().borrow().clone();
+        let roster = self.0.permits.standing().ledger.map_or(0, |ledger| ledger.roster.len());
+        let alive = view.members.iter().filter(|line| line.life == Life::Alive).count();
+        view.standing == "together" && alive * 2 > roster
+    }
+
+    /// Whether this node may send nothing new.
+    fn is_fenced(&self) -> bool {
+        let now = self.now();
+        let mut contact = self.0.contact.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.0.names.seen().borrow().is_some() {
+            contact.service = now;
+        }
+        if self.most() {
+            contact.most = now;
+        }
+        fenced(now, *contact, self.0.config.alone.as_millis() as u64)
+    }
+
+    /// Bars what is known to drain, before the first request.
+    pub(crate) fn begin(&self, tenants: &Tenants) {
+        if let Some(Ok(orders)) = self.fresh() {
+            *self.0.orders.lock().unwrap_or_else(PoisonError::into_inner) = orders;
+        }
+        tenants.bar(wanted(&self.orders(), false));
+    }
+
+    /// Carries the orders out for as long as the node lives.
+    pub(crate) async fn keep(self, tenants: Rc<Tenants>) {
+        let mut seen = self.0.board.seen();
+        let (mut applied, mut bars, mut said) = (None::<(Instant, Orders)>, Bars::default(), 0);
+        let (mut unread, mut unkept) = (None, None);
+        loop {
+            if let Some(fresh) = self.fresh() {
+                match fresh {
+                    Ok(orders) => *self.0.orders.lock().unwrap_or_else(PoisonError::into_inner) = orders,
+                    Err(why) if unread.as_ref() != Some(&why) => {
+                        crate::log::line(format_args!(
+                            "drains: the orders cannot be read and stay as they were: {why}"
+                        ));
+                        unread = Some(why);
+                    }
+                    Err(_) => {}
+                }
+            }
+            let orders = self.orders();
+            let fenced = self.is_fenced();
+            if fenced != bars.all {
+                let why = if fenced {
+                    "sends nothing new: it has neither the service nor most of the fleet"
+                } else {
+                    "sends again"
+                };
+                crate::log::line(format_args!("drains: {} {why}", self.0.me));
+            }
+            let now = wanted(&orders, fenced);
+            if now != bars || applied.is_none() {
+                tenants.bar(now.clone());
+                bars = now;
+            }
+            if applied.as_ref().is_none_or(|(_, last)| *last != orders) {
+                applied = Some((Instant::now(), orders.clone()));
+                unkept = Some(orders.clone());
+            }
+            // On disk before it is said: the next process of this name goes by it.
+            if let Some(orders) = unkept.clone() {
+                let path = self.0.config.file.clone();
+                let kept = tokio::task::spawn_blocking(move || write(&path, &orders)).await;
+                match kept {
+                    Ok(Ok(())) => unkept = None,
+                    Ok(Err(error)) => {
+                        let at = self.0.config.file.display();
+                        crate::log::line(format_args!("drains: {at}: {error}; nothing is said to be done"));
+                    }
+                    Err(_) => {}
+                }
+            }
+            let stopped = applied.as_ref().is_some_and(|(at, _)| at.elapsed() >= STOPPED);
+            if stopped && unkept.is_none() && said < orders.number {
+                let upto = self.upto(&orders, &tenants).await;
+                if upto > said {
+                    said = upto;
+                    self.0.members.done(u32::try_from(said).unwrap_or(u32::MAX)).await;
+                }
+            }
+            tokio::select! {
+                _ = seen.changed() => {}
+                () = tokio::time::sleep(if unkept.is_some() { STOPPED } else { LOOK }) => {}
+            }
+        }
+    }
+
+    /// Up to which order nothing is in flight.
+    async fn upto(&self, orders: &Orders, tenants: &Tenants) -> u64 {
+        let draining: Vec<(SocketAddr, u64)> =
+            orders.draining().filter_map(|(addr, order)| Some((addr.parse().ok()?, order.number))).collect();
+        let busy = tenants.in_flight(&draining.iter().map(|(addr, _)| *addr).collect()).await;
+        let first = draining.iter().filter(|(addr, _)| busy.contains(addr)).map(|(_, number)| *number).min();
+        first.map_or(orders.number, |first| first - 1)
+    }
+
+    /// The orders, and of each server that drains whether it may be stopped.
+    ///
+    /// # Errors
+    /// Where the orders or the roster are not known now.
+    pub fn answers(&self) -> Result<(Orders, BTreeMap<String, Answer>), No> {
+        let orders = self.fresh().ok_or(No::Unreachable)?.map_err(No::Unread)?;
+        let standing = self.0.permits.standing();
+        let ledger = standing.ledger.filter(|_| !standing.stale).ok_or(No::Unreachable)?;
+        let view = self.0.members.view().borrow().clone();
+        let sessions = self.0.names.seen().borrow().clone();
+        let names: BTreeSet<&String> =
+            ledger.roster.keys().chain(view.members.iter().map(|line| &line.name)).collect();
+        let witness = |name: &String| {
+            let line = view.members.iter().find(|line| line.name == *name);
+            Witness {
+                says: line.map(|line| u64::from(line.done)),
+                left: line.is_some_and(|line| line.phase == Phase::Out),
+                // Who is registered is not known: it may be.
+                session: sessions.as_ref().is_none_or(|sessions| sessions.contains(name)),
+                dead_for: line.filter(|line| line.life == Life::Dead).map(|line| line.since_ms),
+            }
+        };
+        let (most, proven) = (self.most(), self.proven(names.len()));
+        let answers = orders.draining().map(|(server, order)| {
+            let roster = names.iter().map(|name| (*name, witness(name)));
+            (server.clone(), answer(order.number, roster, most, proven))
+        });
+        let answers = answers.collect();
+        Ok((orders, answers))
+    }
+
+    /// After how long a dead one can't send any more: it found out that it is cut off, went on alone, and its requests
+    /// ended.
+    fn proven(&self, members: usize) -> u64 {
+        let DrainsConfig { alone, longest, .. } = &self.0.config;
+        self.0.members.longest_suspicion(members) + (*alone + *longest).as_millis() as u64
+    }
+
+    /// Drains a server, or takes it back; the order's number.
+    ///
+    /// # Errors
+    /// Why that was not written.
+    pub async fn order(&self, server: SocketAddr, reason: String, back: bool) -> Result<u64, No> {
+        let change = move |read: Option<&[u8]>| {
+            let before: Orders = match read {
+                None => Orders::default(),
+                Some(text) => serde_json::from_slice(text).map_err(|error| No::Unread(error.to_string()))?,
+            };
+            let mut orders = before.clone();
+            let (now, server) = (now_ms(), server.to_string());
+            let number = match back {
+                true => orders.back(now, &server, &reason),
+                false => orders.drain(now, &server, &reason),
+            };
+            let number = number.map_err(|refusal: Refusal| No::Refused(refusal))?;
+            let write = (orders != before).then(|| serde_json::to_vec(&orders).unwrap_or_default());
+            Ok((write, number))
+        };
+        Ok(self.0.board.change(PATIENCE, change).await?)
+    }
+}
+
+/// What orders have a node do.
+fn wanted(orders: &Orders, all: bool) -> Bars {
+    let bar = |(addr, order): (&String, &woodgap_permits::servers::Order)| {
+        let bar = if order.back { Bar::Since(order.since) } else { Bar::Draining };
+        Some((addr.parse().ok()?, bar))
+    };
+    Bars { all, servers: orders.servers.iter().filter_map(bar).collect() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn orders_are_kept_whole_or_not_at_all() {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("drains.json");
+        assert_eq!(read(&path).unwrap(), Orders::default());
+        let mut orders = Orders::default();
+        orders.drain(1, "127.0.0.1:9", "x").unwrap();
+        write(&path, &orders).unwrap();
+        assert_eq!(read(&path).unwrap(), orders);
+        // A write that was cut short left its file aside.
+        std::fs::write(path.with_extension("new"), b"{").unwrap();
+        assert_eq!(read(&path).unwrap(), orders);
+        std::fs::write(&path, b"{").unwrap();
+        assert!(read(&path).unwrap_err().contains("take it away only where no server drains"));
+    }
+}
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -18,7 +18,7 @@
 use woodgap_zookeeper::is_path;
 use woodgap_zookeeper::session::{Settings as SessionSettings, MOST_ADDRESSES};
 
-pub use crate::fleet::{FleetConfig, PermitsConfig};
+pub use crate::fleet::{DrainsConfig, FleetConfig, PermitsConfig};
 pub use crate::front::keys::Keys;
 
 /// Listeners, at most.
@@ -468,7 +468,7 @@
         let registers = zookeeper.as_ref().is_some_and(|zookeeper| zookeeper.register.is_some());
         let permits = match reader.section(top, "permits") {
             Some(mut section) => {
-                let permits = Self::permits(reader, &mut section, registers);
+                let permits = Self::permits(reader, &mut section, registers, fleet.is_some(), folder);
                 reader.done(section);
                 permits
             }
@@ -538,6 +538,8 @@
         reader: &mut Reader<'_>,
         section: &mut Section<'_, '_>,
         registers: bool,
+        fleet: bool,
+        folder: &Path,
     ) -> Option<PermitsConfig> {
         if !registers {
             let need =
@@ -574,7 +576,21 @@
         let usual = PermitsConfig::new(path?, zone, most_out, zone_most, least_up);
         let (hold, act) = (seconds("hold_s", usual.hold), seconds("act_s", usual.act));
         let wait = seconds("wait_s", usual.wait);
-        Some(PermitsConfig { hold, act, wait, ..usual })
+        let servers = reader.section(section, "servers").and_then(|mut section| {
+            if !fleet {
+                let need =
+                    "permits.servers: nodes tell one another by [fleet] what they have done: say it too";
+                reader.fault(section.span.clone(), need.to_owned());
+            }
+            let file = reader.text(&mut section, "file", "the file of the orders that were read last");
+            let file = reader.required(&section, "file", file);
+            let alone = reader.whole(&mut section, "alone_s", 1..86_401).unwrap_or(30);
+            let longest = reader.whole(&mut section, "longest_s", 1..3_601).unwrap_or(120);
+            reader.done(section);
+            let (alone, longest) = (Duration::from_secs(alone), Duration::from_secs(longest));
+            Some(DrainsConfig { file: folder.join(file?), alone, longest })
+        });
+        Some(PermitsConfig { hold, act, wait, servers, ..usual })
     }
 
     fn listeners(reader: &mut Reader<'_>, top: &mut Section<'_, '_>, folder: &Path) -> Option<Vec<Listen>> {
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -3,6 +3,7 @@
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use super::ephemeral::Paths;
 use super::Bounds;
 use crate::config::Figures;
+use crate::fleet::servers::{Bar, Bars};
 use crate::front::clients::Clients;
 use crate::front::request::Fault;
 use crate::front::{Directory, Seat, Turned, NO_TENANT};
@@ -113,6 +115,8 @@
     old_path: Option<(String, SourceId)>,
     /// When its list changes though nobody tells anything.
     due: Option<Instant>,
+    /// What operators keep from servers, of all tenants.
+    bars: Rc<RefCell<Bars>>,
 }
 
 impl Entry {
@@ -122,8 +126,21 @@
             return List { complete: true, ..List::default() };
         }
         let views = self.views();
-        let (servers, due) = (views.list(), views.due());
+        let (mut servers, due) = (views.list(), views.due());
         self.due = due.map(|due| Instant::now() + due);
+        let bars = self.bars.borrow();
+        for server in &mut servers.entries {
+            let bar = bars.servers.get(&server.addr);
+            match bar {
+                Some(Bar::Since(since)) => server.up_since_ms = server.up_since_ms.max(*since),
+                Some(Bar::Draining) | None => {}
+            }
+            let barred = bars.all || bar == Some(&Bar::Draining);
+            if barred && server.state == ServerState::InService {
+                server.state = ServerState::Terminating;
+            }
+        }
+        drop(bars);
         servers
     }
 
@@ -185,6 +202,8 @@
     seeds: RefCell<fastrand::Rng>,
     /// Where servers register, if that is anywhere.
     paths: RefCell<Option<Paths>>,
+    /// What operators keep from servers.
+    bars: Rc<RefCell<Bars>>,
 }
 
 /// Units of a share, given back when dropped.
@@ -223,6 +242,7 @@
             drained,
             seeds: RefCell::new(fastrand::Rng::with_seed(bounds.seed)),
             paths: RefCell::new(paths),
+            bars: Rc::default(),
             bounds,
         });
         spawn_local(Self::look_over(Rc::downgrade(&tenants)));
@@ -269,6 +289,7 @@
                 path: None,
                 old_path: None,
                 due: None,
+                bars: self.bars.clone(),
                 view: view.clone(),
             }),
         };
@@ -383,6 +404,33 @@
         }
     }
 
+    /// Keeps new work from servers, whatever their sources tell, from now on.
+    pub fn bar(&self, bars: Bars) {
+        if bars == *self.bars.borrow() {
+            return;
+        }
+        *self.bars.borrow_mut() = bars;
+        self.entries.borrow_mut().values_mut().for_each(Entry::tell);
+    }
+
+    /// At which of these servers attempts are out, of any pool.
+    pub async fn in_flight(&self, servers: &BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
+        let pools: Vec<mpsc::UnboundedSender<Msg>> = {
+            let entries = self.entries.borrow();
+            let pools = entries.values().flat_map(|entry| &entry.pools);
+            pools.filter_map(mpsc::WeakUnboundedSender::upgrade).collect()
+        };
+        let mut busy = BTreeSet::new();
+        for pool in pools {
+            let (reply, looks) = oneshot::channel();
+            let _ = pool.send(Msg::Look(reply));
+            let looks = looks.await.unwrap_or_default();
+            let out = looks.into_iter().filter(|look| look.out > 0 && servers.contains(&look.addr));
+            busy.extend(out.map(|look| look.addr));
+        }
+        busy
+    }
+
     /// Requests held, of all tenants.
     pub fn held(&self) -> usize {
         self.entries.borrow().values().map(|entry| entry.account.held.get()).sum()
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -35,7 +35,7 @@
 
 use crate::admin;
 use crate::control::{self, Control};
-use crate::fleet::{Fleet, Members, Permits};
+use crate::fleet::{Drains, Fleet, Members, Permits};
 use crate::front::clients::Clients;
 use crate::front::http1::Door;
 use crate::front::http3;
@@ -227,7 +227,15 @@
     let permits = permits.map(|((service, permits), register)| {
         Permits::start(service, config.name.clone(), permits, members.as_ref(), &register.path)
     });
-    let fleet = Fleet::new(members.clone(), permits.clone());
+    let wanted = config.permits.as_ref().and_then(|permits| Some((permits, permits.servers.clone()?)));
+    let drains = match (wanted, &service, &members, &permits, register) {
+        (Some((of, servers)), Some(service), Some(members), Some(permits), Some(register)) => {
+            let at = (config.name.clone(), format!("{}-servers", of.path), register.path.clone());
+            Some(Drains::start(service, servers, at, members.clone(), permits.clone())?)
+        }
+        _ => None,
+    };
+    let fleet = Fleet::new(members.clone(), permits.clone(), drains.clone());
     let sockets = Sockets::new(all);
     let (drained, gone) = mpsc::unbounded_channel();
     let (plane, mut commands) = mpsc::unbounded_channel();
@@ -261,6 +269,12 @@
         })
     };
     tenants.settled(READ_AT_START).await;
+    // Before the first request: orders of the last process at the least, those of now where the service is in reach.
+    if let Some(drains) = &drains {
+        drains.settled(READ_AT_START).await;
+        drains.begin(&tenants);
+        spawn_local(drains.clone().keep(tenants.clone()));
+    }
     let registration = registration(&config, service.as_ref(), &addresses)?;
     for door in doors {
         if let Some((listener, door)) = door.tcp {
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -399,6 +399,57 @@
     })
 }
 
+/// `woodgap drain --server`.
+pub(crate) fn drain_server(
+    node: &Node,
+    server: SocketAddr,
+    reason: Option<String>,
+    cancel: bool,
+    wait_s: u64,
+) -> Result<(), Box<dyn Error>> {
+    let asker = node.asker()?;
+    run(async {
+        let path = format!("/v1/servers/{server}/drain");
+        if cancel {
+            asker.done(Method::DELETE, &path, None, None).await?;
+            println!("{server} is taken back, cold at all nodes");
+            return Ok(());
+        }
+        let reason = reason.ok_or("say why: --reason TEXT")?;
+        asker.done(Method::PUT, &path, None, Some(json!({ "reason": reason }))).await?;
+        let until = Instant::now() + Duration::from_secs(wait_s);
+        let mut told = String::new();
+        loop {
+            let answer = asker.done(Method::GET, "/v1/servers", None, None).await;
+            let now = match &answer {
+                Ok(answer) => {
+                    let address = server.to_string();
+                    let lines = list(&answer.body, "servers");
+                    let line = lines.iter().find(|line| text(line, "address") == address);
+                    match line.map(|line| (text(line, "state"), names(line, "nodes"))) {
+                        Some(("safe", _)) => {
+                            println!("safe to stop");
+                            return Ok(());
+                        }
+                        Some(("waits", nodes)) => format!("waits for {nodes}"),
+                        Some(("not_known", nodes)) => format!("not known: {nodes}"),
+                        _ => return Err("the drain was taken back".into()),
+                    }
+                }
+                Err(error) => error.to_string(),
+            };
+            if now != told {
+                println!("{now}");
+                told = now;
+            }
+            if Instant::now() >= until {
+                return Err(format!("not safe to stop within {wait_s} s: {told}").into());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    })
+}
+
 /// How far a node's drain is, from what it says of the fleet.
 fn progress(fleet: &Value) -> String {
     let me = text(fleet, "me");
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -98,6 +98,10 @@
 pub struct Look {
     /// Its id in the list.
     pub id: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Attempts that are out there.
+    pub out: usize,
     /// Whether new work may go to it.
     pub in_service: bool,
     /// Connections that are kept open to it with nothing on them.
@@ -281,7 +285,16 @@
                 let (kind, members) = self.servers.apply(&list);
                 self.events.push_back(Event::Sync { kind, members });
             }
-            Msg::Look(reply) => drop(reply.send(self.servers.look())),
+            Msg::Look(reply) => {
+                let mut looks = self.servers.look();
+                let attempts = self.held.values().flat_map(|held| held.attempts.iter().flatten());
+                let mut out: HashMap<ServerId, usize> = HashMap::new();
+                attempts.for_each(|attempt| *out.entry(attempt.server).or_default() += 1);
+                for (server, look) in &mut looks {
+                    look.out = out.get(server).copied().unwrap_or(0);
+                }
+                drop(reply.send(looks.into_iter().map(|(_, look)| look).collect()));
+            }
             Msg::Discovery(addr) if self.discovery == Some(addr) => {}
             Msg::Discovery(addr) => {
                 // The list stays until the new place has told its own, whole: its revisions may count
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -233,15 +233,20 @@
     }
 
     /// The servers as they are now, by their ids.
-    pub fn look(&self) -> Vec<Look> {
+    pub fn look(&self) -> Vec<(ServerId, Look)> {
         let (entries, names) = (self.entries.borrow(), self.names.borrow());
-        let look = |(server, entry): (&ServerId, &Entry)| Look {
-            id: names.get(&server.0).cloned().unwrap_or_default(),
-            in_service: entry.barred.is_none() && !entry.replaced,
-            idle_connections: entry.idle.len(),
+        let look = |(server, entry): (&ServerId, &Entry)| {
+            let look = Look {
+                id: names.get(&server.0).cloned().unwrap_or_default(),
+                addr: entry.addr,
+                out: 0,
+                in_service: entry.barred.is_none() && !entry.replaced,
+                idle_connections: entry.idle.len(),
+            };
+            (*server, look)
         };
-        let mut looks: Vec<Look> = entries.iter().map(look).collect();
-        looks.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut looks: Vec<(ServerId, Look)> = entries.iter().map(look).collect();
+        looks.sort_by(|(_, a), (_, b)| a.id.cmp(&b.id));
         looks
     }
 
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -28,6 +28,8 @@
 //! **Who is out without a permit** (dead, silent, ejected by most) uses up the budgets like one who has one: see
 //! [`Scene`]. A fleet that is hurt grants nothing more by itself.
 
+pub mod servers;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/permits/src/servers.rs
@@ -0,0 +1,166 @@
+//! Servers that operators drain at all nodes at once: what was ordered, what nodes say of it, and whether one may be
+//! stopped.
+//!
+//! ```text
+//!   operator ─ Orders::drain, back ─▶ document (one a fleet) ─▶ every node: stops new work there, waits until nothing is
+//!                                                               in flight, says the order's number of itself
+//!   each member's word ─┐
+//!   its session ────────┼─▶ answer(): safe to stop, or who is in the way and who is not known
+//!   the fleet's verdict ┘
+//! ```
+//!
+//! **A word is final.** A node that says a number has stopped at all servers that were ordered up to it, has nothing in
+//! flight there, and keeps the orders on disk, so that its next process begins with them.
+//!
+//! **An end is proven, not assumed.** A node that says nothing counts as one that may still send, until its session is
+//! over, the fleet found it dead, and longer ago than it can go on by itself: see [`fenced`]. The one who concludes that has
+//! to hear more than half of the roster, so that the one that is gone can't.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{bounded, Millis, Refusal};
+
+/// Servers with an order, at most.
+pub const MOST_ORDERS: usize = 512;
+/// A server that was taken back is cold from that moment for so long, in milliseconds; then its order is forgotten.
+pub const BACK: Millis = 3_600_000;
+
+/// What was ordered of a server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Order {
+    /// Later orders have higher ones.
+    pub number: u64,
+    /// Since when, by the clock of who wrote it.
+    pub since: Millis,
+    /// Why.
+    pub reason: String,
+    /// It takes work again, as a server that has just started.
+    pub back: bool,
+}
+
+/// All orders of a fleet, by the servers' addresses.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Orders {
+    /// The last number.
+    pub number: u64,
+    /// By address.
+    pub servers: BTreeMap<String, Order>,
+}
+
+impl Orders {
+    /// Drains a server. Ordered again it is the same order.
+    ///
+    /// # Errors
+    /// Where a bound is reached.
+    pub fn drain(&mut self, now: Millis, server: &str, reason: &str) -> Result<u64, Refusal> {
+        self.order(now, server, reason, false)
+    }
+
+    /// Takes a server back: for all nodes it starts in this moment.
+    ///
+    /// # Errors
+    /// Where it does not drain.
+    pub fn back(&mut self, now: Millis, server: &str, reason: &str) -> Result<u64, Refusal> {
+        if !self.servers.contains_key(server) {
+            return Err(Refusal::NoPermit(server.to_owned()));
+        }
+        self.order(now, server, reason, true)
+    }
+
+    fn order(&mut self, now: Millis, server: &str, reason: &str, back: bool) -> Result<u64, Refusal> {
+        if let Some(order) = self.servers.get(server).filter(|order| order.back == back) {
+            return Ok(order.number);
+        }
+        self.servers.retain(|_, order| !order.back || now < order.since.saturating_add(BACK));
+        if self.servers.len() >= MOST_ORDERS && !self.servers.contains_key(server) {
+            return Err(Refusal::Bound(format!("{MOST_ORDERS} servers have orders: take some back first")));
+        }
+        let (server, reason) = (bounded(server)?, bounded(reason)?);
+        self.number += 1;
+        let order = Order { number: self.number, since: now, reason, back };
+        self.servers.insert(server, order);
+        Ok(self.number)
+    }
+
+    /// The servers that drain.
+    pub fn draining(&self) -> impl Iterator<Item = (&String, &Order)> {
+        self.servers.iter().filter(|(_, order)| !order.back)
+    }
+}
+
+/// What is known of a member of the roster.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Witness {
+    /// Up to which number it says that it has stopped and has nothing in flight.
+    pub says: Option<u64>,
+    /// It said itself that it has nothing and ends.
+    pub left: bool,
+    /// It is registered.
+    pub session: bool,
+    /// For how long the fleet has held it for dead; `None` where it does not.
+    pub dead_for: Option<Millis>,
+}
+
+/// Whether a server may be stopped.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "state")]
+pub enum Answer {
+    /// No node sends there any more, and none will.
+    Safe,
+    /// These live and have not finished there.
+    Waits {
+        /// Who.
+        nodes: Vec<String>,
+    },
+    /// These may still send there; nobody can tell.
+    NotKnown {
+        /// Who.
+        nodes: Vec<String>,
+    },
+}
+
+/// Whether the server of an order may be stopped. `most` says whether who asks hears more than half of the roster; an
+/// end counts as proven after `proven` milliseconds.
+pub fn answer<'a>(
+    order: u64,
+    roster: impl Iterator<Item = (&'a String, Witness)>,
+    most: bool,
+    proven: Millis,
+) -> Answer {
+    let (mut waits, mut unknown) = (Vec::new(), Vec::new());
+    for (name, witness) in roster {
+        let ended = !witness.session && most && witness.dead_for.is_some_and(|dead| dead >= proven);
+        if witness.says.is_some_and(|says| says >= order) || witness.left || ended {
+            continue;
+        }
+        if witness.dead_for.is_none() && witness.says.is_some() {
+            waits.push(name.clone());
+        } else {
+            unknown.push(name.clone());
+        }
+    }
+    if !unknown.is_empty() {
+        Answer::NotKnown { nodes: unknown }
+    } else if !waits.is_empty() {
+        Answer::Waits { nodes: waits }
+    } else {
+        Answer::Safe
+    }
+}
+
+/// When a node last had what tells it of orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Contact {
+    /// The coordination service.
+    pub service: Millis,
+    /// More than half of the roster, itself among them.
+    pub most: Millis,
+}
+
+/// Whether a node may send nothing new any more: for `alone` milliseconds it had neither the service nor more than half
+/// of the fleet, so that orders may have been given that it can't know, and others may conclude that it is gone.
+pub fn fenced(now: Millis, contact: Contact, alone: Millis) -> bool {
+    now >= contact.service.saturating_add(alone) && now >= contact.most.saturating_add(alone)
+}
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -71,6 +71,10 @@
     pub act_s: u32,
     /// How long a node that is told to end waits for a permit, in seconds.
     pub wait_s: u32,
+    /// Whether `[permits.servers]` is on, with so many seconds that a node goes on alone.
+    pub alone_s: Option<u32>,
+    /// The longest that a request may be on its way, in seconds.
+    pub longest_s: u32,
     /// Time-out of sessions with the coordination service, in milliseconds.
     pub session_ms: u64,
     /// For all that is by chance.
@@ -93,6 +97,8 @@
             hold_s: 1,
             act_s: 5,
             wait_s: 60,
+            alone_s: None,
+            longest_s: 1,
             session_ms: 4_000,
             seed: 1,
         }
@@ -395,6 +401,10 @@
             }
             let Made { hold_s, act_s, wait_s, .. } = made;
             let _ = writeln!(text, "hold_s = {hold_s}\nact_s = {act_s}\nwait_s = {wait_s}");
+            if let Some(alone) = made.alone_s {
+                let _ = writeln!(text, "[permits.servers]\nfile = 'drains.json'\nalone_s = {alone}");
+                let _ = writeln!(text, "longest_s = {}", made.longest_s);
+            }
         }
         Ok(std::fs::write(place.folder.path().join("hosted.toml"), text)?)
     }
