--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use woodgap_decisions::ServerState;
 use woodgap_fleet::{Life, Phase};
 use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Witness};
 use woodgap_permits::Refusal;
@@ -26,6 +27,7 @@
 use super::permits::{No, Permits};
 use crate::control::now_ms;
 use crate::hosted::directory::Tenants;
+use crate::sources::discovery::List;
 
 /// How often what is in flight and who is heard is looked at.
 const LOOK: Duration = Duration::from_millis(50);
@@ -65,6 +67,23 @@
     pub servers: BTreeMap<SocketAddr, Bar>,
 }
 
+impl Bars {
+    /// What becomes of a list.
+    pub fn apply(&self, list: &mut List) {
+        for server in &mut list.entries {
+            let bar = self.servers.get(&server.addr);
+            if let Some(Bar::Since(since)) = bar {
+                // A process that starts now, for every node: cold, and with none of the old connections.
+                server.up_since_ms = server.up_since_ms.max(*since);
+            }
+            let barred = self.all || bar == Some(&Bar::Draining);
+            if barred && server.state == ServerState::InService {
+                server.state = ServerState::Terminating;
+            }
+        }
+    }
+}
+
 struct Inner {
     me: String,
     config: DrainsConfig,
@@ -334,6 +353,42 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::sources::discovery::Entry as Listed;
+
+    #[test]
+    fn a_server_that_is_back_has_just_started_for_every_node() {
+        let server = |addr: &str, up_since_ms| Listed {
+            id: addr.to_owned(),
+            addr: addr.parse().unwrap(),
+            transport: Default::default(),
+            zone: String::new(),
+            cell: 0,
+            state: ServerState::InService,
+            size: 1.0,
+            up_since_ms,
+        };
+        let all = || List {
+            entries: vec![server("127.0.0.1:1", 5), server("127.0.0.1:2", 5), server("127.0.0.1:3", 90)],
+            ..List::default()
+        };
+        let mut orders = Orders::default();
+        orders.drain(10, "127.0.0.1:1", "x").unwrap();
+        for back in ["127.0.0.1:2", "127.0.0.1:3"] {
+            orders.drain(10, back, "x").unwrap();
+            orders.back(50, back, "x").unwrap();
+        }
+        let seen = |list: &List| {
+            list.entries
+                .iter()
+                .map(|e| (e.state == ServerState::InService, e.up_since_ms))
+                .collect::<Vec<_>>()
+        };
+        let mut list = all();
+        wanted(&orders, false).apply(&mut list);
+        assert_eq!(seen(&list), [(false, 5), (true, 50), (true, 90)]);
+        wanted(&orders, true).apply(&mut list);
+        assert!(seen(&list).iter().all(|(in_service, _)| !in_service));
+    }
 
     #[test]
     fn orders_are_kept_whole_or_not_at_all() {
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -32,7 +32,7 @@
 use super::ephemeral::Paths;
 use super::Bounds;
 use crate::config::Figures;
-use crate::fleet::servers::{Bar, Bars};
+use crate::fleet::servers::Bars;
 use crate::front::clients::Clients;
 use crate::front::request::Fault;
 use crate::front::{Directory, Seat, Turned, NO_TENANT};
@@ -128,19 +128,7 @@
         let views = self.views();
         let (mut servers, due) = (views.list(), views.due());
         self.due = due.map(|due| Instant::now() + due);
-        let bars = self.bars.borrow();
-        for server in &mut servers.entries {
-            let bar = bars.servers.get(&server.addr);
-            match bar {
-                Some(Bar::Since(since)) => server.up_since_ms = server.up_since_ms.max(*since),
-                Some(Bar::Draining) | None => {}
-            }
-            let barred = bars.all || bar == Some(&Bar::Draining);
-            if barred && server.state == ServerState::InService {
-                server.state = ServerState::Terminating;
-            }
-        }
-        drop(bars);
+        self.bars.borrow().apply(&mut servers);
         servers
     }
 
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -356,6 +356,24 @@
         log.iter().any(|said| said.node == node && said.line.contains(what))
     }
 
+    /// When a node first said this, since the rig's start, not before `from`.
+    pub fn said_at(&self, node: &str, what: &str, from: Duration) -> Option<Duration> {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let said = log.iter().filter(|said| said.at >= from && said.node == node);
+        said.filter(|said| said.line.contains(what)).map(|said| said.at).min()
+    }
+
+    /// Since the rig's start.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// How often anybody said this.
+    pub fn times(&self, what: &str) -> usize {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.iter().filter(|said| said.line.contains(what)).count()
+    }
+
     /// Writes a node's keys: they are read at its start and at SIGHUP.
     ///
     /// # Errors
