--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -10,7 +10,7 @@
 
 use crate::hosted::config::{descriptors, HostedConfig};
 use crate::hosted::{self, Addresses};
-use crate::{admin, platform};
+use crate::{admin, operate, platform};
 
 /// An HTTP load balancer. Without a command it is the platform's node, told by BALANCER_CONFIG.
 #[derive(Parser)]
@@ -29,6 +29,33 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Shows the fleet: who lives, who may be out, who waits for what; or changes what operators may.
+    Fleet {
+        #[command(flatten)]
+        node: operate::Node,
+        #[command(subcommand)]
+        what: Option<operate::What>,
+        /// As the administration API has it, for programs.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Has a node ask to be out, drain and end, or a server drain at all nodes, and tells how far that is.
+    Drain {
+        #[command(flatten)]
+        node: operate::Node,
+        /// A server, as ADDRESS:PORT: all nodes stop new work there. Ends once it may be stopped.
+        #[arg(long)]
+        server: Option<std::net::SocketAddr>,
+        /// Why a server drains: it is kept.
+        #[arg(long, requires = "server")]
+        reason: Option<String>,
+        /// Takes it back: a server at any time, a node where it has not begun.
+        #[arg(long)]
+        cancel: bool,
+        /// How long to wait for that, in seconds; it goes on all the same.
+        #[arg(long, default_value_t = 600)]
+        wait_s: u64,
+    },
     /// Reads a configuration and what it names, and tells every fault with its line.
     Check {
         /// The configuration.
@@ -37,7 +64,7 @@
     },
 }
 
-fn read(path: &Path) -> Result<HostedConfig, Box<dyn Error>> {
+pub(crate) fn read(path: &Path) -> Result<HostedConfig, Box<dyn Error>> {
     let at = path.display();
     let text = std::fs::read_to_string(path).map_err(|error| format!("{at}: {error}"))?;
     let folder = path.parent().unwrap_or(Path::new(""));
@@ -92,6 +119,11 @@
         None => platform::start(),
         Some(Command::Serve { config }) => serve(&config),
         Some(Command::Check { config }) => check(&config),
+        Some(Command::Fleet { node, what, json }) => operate::fleet(&node, what, json),
+        Some(Command::Drain { node, server: Some(server), reason, cancel, wait_s }) => {
+            operate::drain_server(&node, server, reason, cancel, wait_s)
+        }
+        Some(Command::Drain { node, cancel, wait_s, .. }) => operate::drain(&node, cancel, wait_s),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
