Measure fleets of processes: proof fleet

Detection, false deaths, seeded schedules, a rolling drain of all nodes, servers drained under load, a thousand in simulated time. The rig took a name for a path, so that it knew no session.

--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod ephemeral;
+mod fleet;
 mod http3;
 mod process;
 mod tenants;
@@ -74,6 +75,15 @@
         #[arg(long)]
         keys: u64,
     },
+    /// Nodes that know one another, permits, servers drained at all nodes: processes, and simulated time.
+    Fleet {
+        /// More rounds, schedules and time.
+        #[arg(long)]
+        long: bool,
+        /// One part alone: detection, false, schedules, rolling, servers or simulated.
+        #[arg(long)]
+        only: Option<String>,
+    },
     /// Servers as ephemeral nodes, and a catalogue that nodes share.
     Ephemeral {
         /// A whole minute out of reach, and more changes.
@@ -102,6 +112,7 @@
                 }
                 Proof::Admission { long, only } => admission::measure(long, only.as_deref()).await,
                 Proof::Gate { keys } => admission::alone(keys),
+                Proof::Fleet { long, only } => fleet::measure(long, only.as_deref()).await,
                 Proof::Ephemeral { long, only } => ephemeral::measure(long, only.as_deref()).await,
             }
         })
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -535,8 +535,7 @@
 
     /// The session of a node that is registered.
     pub fn session(&self, node: &str) -> Option<i64> {
-        let end = format!("/{node}");
-        self.service.owners("/nodes").into_iter().find(|(path, _)| path.ends_with(&end)).map(|(_, id)| id)
+        self.service.owners("/nodes").into_iter().find(|(name, _)| name == node).map(|(_, id)| id)
     }
 
     /// What ails the way between two groups of nodes, both ways or from the first to the second alone.
