--- a/crates/node/src/admin/fleet.rs
+++ b/crates/node/src/admin/fleet.rs
@@ -9,7 +9,7 @@
 use axum::{Extension, Json, Router};
 use serde::{Deserialize, Serialize};
 use utoipa::{OpenApi, ToSchema};
-use woodgap_permits::servers::{Answer as Answered, Order};
+use woodgap_permits::servers::{Answer as Answered, Order, Pool};
 use woodgap_permits::{Bounds, Budget, Command, Kept, Most, Phase, Refusal, Scope};
 
 use super::api::{document, Answer, Api};
@@ -615,13 +615,21 @@
         let right = "give the server's address and port as the nodes have it, such as 10.0.0.7:8080";
         Problem::field(StatusCode::UNPROCESSABLE_ENTITY, "address", right)
     })?;
-    let number = drains.order(server, reason, back).await?;
+    let mut budgets = drains.budgets()?;
+    let lists = api.control.servers(budgets.keys().cloned().collect()).await;
+    let pool = |(name, servers): crate::hosted::Listed| {
+        let budget = budgets.remove(&name)?;
+        let servers = servers.into_iter().map(|(addr, works)| (addr.to_string(), works)).collect();
+        Some(Pool { name, budget, servers })
+    };
+    let pools = lists.into_iter().filter_map(pool).collect();
+    let number = drains.order(server, reason, back, pools).await?;
     let what = if back { "takes back" } else { "drains" };
     crate::log::line(format_args!("drains: {} {what} {server}, order {number}", caller.name));
     Ok((StatusCode::ACCEPTED, Json(serde_json::json!({ "number": number }))).into_response())
 }
 
-/// Drains a server at all nodes: nothing new goes there, and `/v1/servers` says when it may be stopped.
+/// Drains a server at all nodes, where the budgets of its pools allow it: nothing new goes there, and `/v1/servers` says when it may be stopped.
 #[utoipa::path(put, path = "/v1/servers/{address}/drain", params(("address" = String, Path)),
     request_body = Reason,
     responses((status = 202, description = "it is ordered"), (status = "default", body = Problem)))]
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -244,6 +244,13 @@
         let _ = carried_out.await;
     }
 
+    /// The servers of tenants, and which of them take work.
+    pub async fn servers(&self, of: BTreeSet<String>) -> Vec<crate::hosted::Listed> {
+        let (reply, servers) = oneshot::channel();
+        let _ = self.plane.send(Command::Servers(of, reply));
+        servers.await.unwrap_or_default()
+    }
+
     /// How a tenant stands on the data path.
     pub async fn standing(&self, uid: Uid) -> Option<Standing> {
         let (reply, standing) = oneshot::channel();
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -17,8 +17,8 @@
 use tokio::time::Instant;
 use woodgap_decisions::ServerState;
 use woodgap_fleet::{Life, Phase};
-use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Witness};
-use woodgap_permits::Refusal;
+use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Pool, Witness};
+use woodgap_permits::{Budget, Refusal, Scope};
 use woodgap_zookeeper::board::{Board, Seen};
 use woodgap_zookeeper::names::Names;
 use woodgap_zookeeper::session::Service;
@@ -317,11 +317,32 @@
         self.0.members.longest_suspicion(members) + (*alone + *longest).as_millis() as u64
     }
 
-    /// Drains a server, or takes it back; the order's number.
+    /// The budgets of pools, by tenant.
+    ///
+    /// # Errors
+    /// Where the ledger is not known now.
+    pub fn budgets(&self) -> Result<BTreeMap<String, Budget>, No> {
+        let standing = self.0.permits.standing();
+        let ledger = standing.ledger.filter(|_| !standing.stale).ok_or(No::Unreachable)?;
+        let pool = |budget: Budget| match &budget.scope {
+            Scope::Pool(tenant) => Some((tenant.clone(), budget)),
+            Scope::Fleet | Scope::Zone(_) => None,
+        };
+        Ok(ledger.budgets.into_iter().filter_map(pool).collect())
+    }
+
+    /// Drains a server, where the budgets of these pools allow it, or takes it back; the order's number.
     ///
     /// # Errors
     /// Why that was not written.
-    pub async fn order(&self, server: SocketAddr, reason: String, back: bool) -> Result<u64, No> {
+    pub async fn order(
+        &self,
+        server: SocketAddr,
+        reason: String,
+        back: bool,
+        pools: Vec<Pool>,
+    ) -> Result<u64, No> {
+        let hold = self.0.permits.standing().ledger.map_or(0, |ledger| ledger.hold_ms);
         let change = move |read: Option<&[u8]>| {
             let before: Orders = match read {
                 None => Orders::default(),
@@ -331,7 +352,7 @@
             let (now, server) = (now_ms(), server.to_string());
             let number = match back {
                 true => orders.back(now, &server, &reason),
-                false => orders.drain(now, &server, &reason),
+                false => orders.drain(now, &server, &reason, &pools, hold),
             };
             let number = number.map_err(|refusal: Refusal| No::Refused(refusal))?;
             let write = (orders != before).then(|| serde_json::to_vec(&orders).unwrap_or_default());
@@ -372,9 +393,9 @@
             ..List::default()
         };
         let mut orders = Orders::default();
-        orders.drain(10, "127.0.0.1:1", "x").unwrap();
+        orders.drain(10, "127.0.0.1:1", "x", &[], 0).unwrap();
         for back in ["127.0.0.1:2", "127.0.0.1:3"] {
-            orders.drain(10, back, "x").unwrap();
+            orders.drain(10, back, "x", &[], 0).unwrap();
             orders.back(50, back, "x").unwrap();
         }
         let seen = |list: &List| {
@@ -396,7 +417,7 @@
         let path = folder.path().join("drains.json");
         assert_eq!(read(&path).unwrap(), Orders::default());
         let mut orders = Orders::default();
-        orders.drain(1, "127.0.0.1:9", "x").unwrap();
+        orders.drain(1, "127.0.0.1:9", "x", &[], 0).unwrap();
         write(&path, &orders).unwrap();
         assert_eq!(read(&path).unwrap(), orders);
         // A write that was cut short left its file aside.
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -392,6 +392,19 @@
         }
     }
 
+    /// The servers of these tenants as their sources have them, and which of them take work.
+    pub fn servers(&self, of: &BTreeSet<String>) -> Vec<super::Listed> {
+        let mut entries = self.entries.borrow_mut();
+        let wanted = |entry: &&mut Entry| entry.view.state == State::Active && of.contains(&entry.view.name);
+        let listed = |entry: &mut Entry| {
+            let list = entry.views().list();
+            let servers = list.entries.into_iter().filter(|server| server.state != ServerState::Terminated);
+            let servers = servers.map(|server| (server.addr, server.state == ServerState::InService));
+            (entry.view.name.clone(), servers.collect())
+        };
+        entries.values_mut().filter(wanted).map(listed).collect()
+    }
+
     /// Keeps new work from servers, whatever their sources tell, from now on.
     pub fn bar(&self, bars: Bars) {
         if bars == *self.bars.borrow() {
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod directory;
 pub(crate) mod ephemeral;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -78,10 +79,15 @@
     Update(Vec<View>, oneshot::Sender<()>),
     /// What is new of a path where servers register.
     Ephemeral(String, SourceId, News),
+    /// The servers of these tenants, and which of them take work.
+    Servers(BTreeSet<String>, oneshot::Sender<Vec<Listed>>),
     /// How a tenant stands.
     Standing(Uid, oneshot::Sender<Option<Standing>>),
 }
 
+/// A tenant and its servers: `true` for those that take work.
+pub(crate) type Listed = (String, BTreeMap<SocketAddr, bool>);
+
 /// Descriptors that the coordination service takes: its connection, the runtimes and what wakes them.
 const ZOOKEEPER_DESCRIPTORS: usize = 16;
 /// For how long clients may remember that HTTP/3 is spoken here, in seconds.
@@ -260,6 +266,7 @@
                         let _ = done.send(());
                     }
                     Command::Ephemeral(path, source, news) => tenants.heard(&path, source, news),
+                    Command::Servers(of, reply) => drop(reply.send(tenants.servers(&of))),
                     Command::Standing(uid, reply) => {
                         let tenants = tenants.clone();
                         spawn_local(async move { drop(reply.send(tenants.standing(uid).await)) });
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -157,8 +157,45 @@
     let served = load(&rig, "n3", Duration::from_millis(400)).await.unwrap();
     assert!(served.served > 20, "{served:?}");
     assert_eq!(rig.backends[0].requests(), at_safe);
-    // It says nothing of what it did not read; what its process before said is not lost by that.
-    assert!(!rig.said("n3", "sends nothing new"));
+    // One that hears the others and not the service has an old list: it is waited for as long as it takes.
     rig.heal();
     until("it has read", || async { state(&rig, "n3").await.0 == "safe" }).await;
+    rig.to_service("n2", Ails::CUT, Ails::CUT).unwrap();
+    order(&rig, "n1", true).await;
+    until("it is back", || async { state(&rig, "n1").await.0 == "back" }).await;
+    order(&rig, "n1", false).await;
+    until("the others have done it", || async { state(&rig, "n1").await == ("waits".into(), name("n2")) })
+        .await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(state(&rig, "n1").await, ("waits".into(), name("n2")));
+    assert!(!rig.said("n3", "sends nothing new"));
+    rig.heal();
+    until("it has read", || async { state(&rig, "n1").await.0 == "safe" }).await;
+}
+
+// A budget of a tenant's pool, given in service: the second server is not let go, and the answer says why.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_budget_of_a_pool_keeps_the_second_server() {
+    let rig = fleet(30).await;
+    let admin = rig.admin("n1").unwrap();
+    let seen = admin.get("fleet/bounds").await.unwrap();
+    let mut bounds = seen.body.clone();
+    bounds["budgets"]
+        .as_array_mut()
+        .unwrap()
+        .push(json!({"scope": "pool acme", "most_out": "1", "least_up": 1}));
+    let given = admin.put("fleet/bounds", If::Match(&seen.etag.unwrap()), &bounds).await.unwrap();
+    assert_eq!(given.status, 204, "{given:?}");
+    order(&rig, "n2", false).await;
+    let path = format!("servers/{}/drain", rig.backends[1].addr);
+    let refused = rig.admin("n3").unwrap().put(&path, If::Unsaid, &json!({"reason": "too"})).await.unwrap();
+    let why = format!("pool acme has 2 servers, allows 1 out, and out are {}", rig.backends[0].addr);
+    assert_eq!(refused.status, 422, "{refused:?}");
+    assert!(refused.body["detail"].as_str().unwrap().contains(&why), "{refused:?}");
+    order(&rig, "n2", true).await;
+    let again = || async {
+        let asked = rig.admin("n3").unwrap().put(&path, If::Unsaid, &json!({"reason": "too"})).await;
+        asked.is_ok_and(|reply| reply.status == 202)
+    };
+    until("the first is back and held", again).await;
 }
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -252,8 +252,8 @@
         /// The ask that there is.
         ask: String,
     },
-    /// It could not be granted were everybody up.
-    #[error("{holder} can never go: {why}")]
+    /// It could not be granted were everybody up; a server, not as things stand.
+    #[error("{holder} can't go: {why}")]
     Never {
         /// Who.
         holder: String,
--- a/crates/permits/src/servers.rs
+++ b/crates/permits/src/servers.rs
@@ -16,11 +16,11 @@
 //! over, the fleet found it dead, and longer ago than it can go on by itself: see [`fenced`]. The one who concludes that has
 //! to hear more than half of the roster, so that the one that is gone can't.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{bounded, Millis, Refusal};
+use crate::{bounded, Budget, Millis, Refusal};
 
 /// Servers with an order, at most.
 pub const MOST_ORDERS: usize = 512;
@@ -40,6 +40,17 @@
     pub back: bool,
 }
 
+/// A pool with a budget, as the node sees it that is told to drain one of its servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pool {
+    /// Its tenant.
+    pub name: String,
+    /// How many of its servers may be out.
+    pub budget: Budget,
+    /// All of its servers, by address; `false` for those that take no work for a reason of their own.
+    pub servers: BTreeMap<String, bool>,
+}
+
 /// All orders of a fleet, by the servers' addresses.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Orders {
@@ -50,14 +61,53 @@
 }
 
 impl Orders {
-    /// Drains a server. Ordered again it is the same order.
+    /// Drains a server, where the budgets of its pools allow one more to be out. Whoever drains, was taken back less than
+    /// `hold` ago, or takes no work otherwise is out. Ordered again it is the same order.
     ///
     /// # Errors
-    /// Where a bound is reached.
-    pub fn drain(&mut self, now: Millis, server: &str, reason: &str) -> Result<u64, Refusal> {
+    /// Which pool stands in the way and who is out of it, or where a bound is reached.
+    pub fn drain(
+        &mut self,
+        now: Millis,
+        server: &str,
+        reason: &str,
+        pools: &[Pool],
+        hold: Millis,
+    ) -> Result<u64, Refusal> {
+        if self.servers.get(server).is_none_or(|order| order.back) {
+            let mut of_it = pools.iter().filter(|pool| pool.servers.contains_key(server));
+            of_it.try_for_each(|pool| self.room(now, server, pool, hold))?;
+        }
         self.order(now, server, reason, false)
     }
 
+    fn room(&self, now: Millis, server: &str, pool: &Pool, hold: Millis) -> Result<(), Refusal> {
+        let ordered = |server: &String| {
+            self.servers
+                .get(server)
+                .is_some_and(|order| !order.back || now < order.since.saturating_add(hold))
+        };
+        let others = pool.servers.iter().filter(|(other, _)| *other != server);
+        let out: BTreeSet<&String> =
+            others.filter(|(other, works)| !**works || ordered(other)).map(|(other, _)| other).collect();
+        let allowed = pool.budget.allows(pool.servers.len() as u32);
+        if (out.len() as u32) < allowed {
+            return Ok(());
+        }
+        let out: Vec<&str> = out.into_iter().map(String::as_str).collect();
+        let (many, scope) = (pool.servers.len(), &pool.budget.scope);
+        Err(Refusal::Never {
+            holder: server.to_owned(),
+            why: match out.as_slice() {
+                [] => format!("{scope} has {many} servers and allows {allowed} out"),
+                out => format!(
+                    "{scope} has {many} servers, allows {allowed} out, and out are {}",
+                    out.join(", ")
+                ),
+            },
+        })
+    }
+
     /// Takes a server back: for all nodes it starts in this moment.
     ///
     /// # Errors
--- a/crates/permits/tests/ledger.rs
+++ b/crates/permits/tests/ledger.rs
@@ -167,7 +167,7 @@
     let mut ledger = Ledger::new(vec![one], 0, 1).unwrap();
     let alone = scene(0, &[("a1", "a", true)]);
     let said = ledger.take(&alone, ask("a1")).unwrap_err().to_string();
-    assert!(said.contains("can never go") && said.contains("1 stay up"), "{said}");
+    assert!(said.contains("can't go") && said.contains("1 stay up"), "{said}");
     assert!(matches!(ledger.take(&alone, ask("zz")), Err(Refusal::Stranger(_))));
 }
 
--- a/crates/permits/tests/model.rs
+++ b/crates/permits/tests/model.rs
@@ -51,6 +51,8 @@
 
 struct Protocol {
     most: u32,
+    /// Whether each state is played on to its end.
+    ends: bool,
 }
 
 impl Protocol {
@@ -162,6 +164,10 @@
                 let held = |at: usize| state.ledger.of(NAMES[at]).is_some_and(|p| p.phase != Phase::Asked);
                 (0..NAMES.len()).all(|at| !state.nodes[at].out || held(at))
             }),
+            Property::always(
+                "once faults stop, whoever asked goes and comes back",
+                |model: &Protocol, state| !model.ends || comes_to_its_end(state),
+            ),
             Property::sometimes("somebody goes", |_, state: &Fleet| state.nodes.iter().any(|node| node.out)),
             Property::sometimes("a second one goes after the first is back", |_, state: &Fleet| {
                 state.ledger.fence >= 2 && state.nodes.iter().any(|node| node.out)
@@ -170,9 +176,49 @@
     }
 }
 
+/// From here on nobody fails and each does what it has to in each round, in turn: whoever waits is served, and in the end
+/// nothing is left in the ledger. So no state is a trap, whatever went before.
+fn comes_to_its_end(state: &Fleet) -> bool {
+    let (mut ledger, mut scene) = (state.ledger.clone(), Protocol::scene(state));
+    scene.members.values_mut().for_each(|member| member.up = true);
+    let waits = |permit: &&Permit| matches!(permit.phase, Phase::Asked | Phase::Granted);
+    let mut waiting: BTreeSet<String> =
+        ledger.permits.iter().filter(waits).map(|permit| permit.holder.clone()).collect();
+    for _ in 0..20 {
+        scene.now += 1;
+        ledger.settle(&scene);
+        for name in NAMES {
+            let holder = name.to_owned();
+            let command = match ledger.of(name).map(|permit| (permit.phase, permit.fence)) {
+                Some((Phase::Granted, fence)) => {
+                    waiting.remove(name);
+                    Command::Begin { holder, fence }
+                }
+                Some((Phase::Draining | Phase::Out, _)) => Command::Return { holder },
+                // Its grant was slept through before.
+                None if waiting.contains(name) => Command::Ask { holder, ask: "again".into() },
+                _ => continue,
+            };
+            if ledger.take(&scene, command).is_err() {
+                return false;
+            }
+        }
+    }
+    waiting.is_empty() && ledger.permits.is_empty()
+}
+
+#[test]
+fn no_state_is_a_trap() {
+    let checker =
+        Protocol { most: 1, ends: true }.checker().target_max_depth(10).threads(2).spawn_bfs().join();
+    println!("{} states, depth {}", checker.unique_state_count(), checker.max_depth());
+    checker.assert_no_discovery("once faults stop, whoever asked goes and comes back");
+}
+
 #[test]
 fn no_order_of_steps_breaks_the_budget() {
-    let checker = Protocol { most: 1 }.checker().target_max_depth(14).threads(2).spawn_bfs().join();
+    let checker =
+        Protocol { most: 1, ends: false }.checker().target_max_depth(14).threads(2).spawn_bfs().join();
     println!("{} states, depth {}", checker.unique_state_count(), checker.max_depth());
     checker.assert_properties();
 }
--- a/crates/permits/tests/servers.rs
+++ b/crates/permits/tests/servers.rs
@@ -1,7 +1,9 @@
 //! Orders to drain servers, and when one may be stopped.
 
-use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Witness, BACK, MOST_ORDERS};
-use woodgap_permits::Refusal;
+use std::slice::from_ref;
+
+use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Pool, Witness, BACK, MOST_ORDERS};
+use woodgap_permits::{Budget, Most, Refusal, Scope};
 
 const PROVEN: u64 = 60_000;
 
@@ -42,19 +44,19 @@
 #[test]
 fn an_order_given_twice_is_one_and_what_is_back_is_forgotten_in_time() {
     let mut orders = Orders::default();
-    assert_eq!(orders.drain(10, "s1", "disk"), Ok(1));
-    assert_eq!(orders.drain(99, "s1", "again"), Ok(1));
+    assert_eq!(orders.drain(10, "s1", "disk", &[], 0), Ok(1));
+    assert_eq!(orders.drain(99, "s1", "again", &[], 0), Ok(1));
     assert_eq!(orders.back(100, "s2", "x"), Err(Refusal::NoPermit("s2".into())));
     assert_eq!(orders.back(100, "s1", "done"), Ok(2));
     assert_eq!(orders.back(101, "s1", "done"), Ok(2));
     assert_eq!(orders.draining().count(), 0);
-    assert_eq!(orders.drain(100 + BACK, "s3", "x"), Ok(3));
+    assert_eq!(orders.drain(100 + BACK, "s3", "x", &[], 0), Ok(3));
     assert!(!orders.servers.contains_key("s1"));
     for server in 0..MOST_ORDERS - 1 {
-        assert!(orders.drain(100 + BACK, &format!("t{server}"), "x").is_ok());
+        assert!(orders.drain(100 + BACK, &format!("t{server}"), "x", &[], 0).is_ok());
     }
-    assert!(matches!(orders.drain(100 + BACK, "one more", "x"), Err(Refusal::Bound(_))));
-    assert!(orders.drain(100 + BACK, "t0", "x").is_ok());
+    assert!(matches!(orders.drain(100 + BACK, "one more", "x", &[], 0), Err(Refusal::Bound(_))));
+    assert!(orders.drain(100 + BACK, "t0", "x", &[], 0).is_ok());
 }
 
 #[test]
@@ -64,3 +66,34 @@
     assert!(!fenced(1_000, contact(0, 950), 100));
     assert!(fenced(1_000, contact(900, 899), 100));
 }
+
+#[test]
+fn no_more_servers_of_a_pool_go_than_its_budget_allows() {
+    let pool = |name: &str, servers: &[(&str, bool)]| Pool {
+        name: name.to_owned(),
+        budget: Budget { scope: Scope::Pool(name.to_owned()), most_out: Most::Percent(50), least_up: 2 },
+        servers: servers.iter().map(|(addr, works)| ((*addr).to_owned(), *works)).collect(),
+    };
+    let all = [("s1", true), ("s2", true), ("s3", true), ("s4", true)];
+    let (acme, small) = (pool("acme", &all), pool("small", &all[3..]));
+    let mut orders = Orders::default();
+    let mut drain =
+        |now, server, pools: &[Pool]| orders.drain(now, server, "x", pools, 10).map_err(|e| e.to_string());
+    assert_eq!(drain(0, "s1", from_ref(&acme)), Ok(1));
+    assert_eq!(drain(0, "s2", from_ref(&acme)), Ok(2));
+    let said = drain(0, "s3", from_ref(&acme)).unwrap_err();
+    assert_eq!(said, "s3 can't go: pool acme has 4 servers, allows 2 out, and out are s1, s2");
+    // Asked again it has its order; another pool's budget counts too, and one without the server does not.
+    assert_eq!(drain(1, "s2", from_ref(&acme)), Ok(2));
+    assert!(drain(1, "s4", from_ref(&small))
+        .unwrap_err()
+        .contains("pool small has 1 servers and allows 0 out"));
+    // Back is held; then there is room again, unless one takes no work for a reason of its own.
+    assert_eq!(orders.back(100, "s1", "x"), Ok(3));
+    let mut drain =
+        |now, server, pools: &[Pool]| orders.drain(now, server, "x", pools, 10).map_err(|e| e.to_string());
+    assert!(drain(109, "s3", &[acme.clone(), small.clone()]).is_err());
+    let hurt = pool("acme", &[("s1", true), ("s2", true), ("s3", true), ("s4", false)]);
+    assert!(drain(110, "s3", &[hurt]).unwrap_err().contains("out are s2, s4"));
+    assert_eq!(drain(110, "s3", &[acme, small]), Ok(4));
+}
