Tell a node whose clock went back of its earlier self in words that it takes

Found by leaving the line out and seeing no test fail: the answer came from one that the newcomer did not know, and was dropped; it was declared dead before it came back.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -927,11 +927,15 @@
         self.post(addr, bytes);
     }
 
-    /// Tells one what is known of another, and nothing else.
+    /// Tells one what is known of another or of us.
     fn tell_of(&mut self, to: &str, of: &str) {
         let Some((addr, member)) = self.address(to).zip(self.members.get(of)) else { return };
         let mut writer = Writer::new(&self.keys, &self.head(), &Body::Gossip);
         writer.add(&word(of, member));
+        if let Some(own) = self.members.get(&self.me).filter(|_| *of != *self.me) {
+            // Who has just started takes nothing from one that it does not know.
+            writer.add(&word(&self.me, own));
+        }
         let bytes = writer.done(&self.keys);
         self.post(addr, bytes);
     }
--- a/crates/fleet/tests/simulated.rs
+++ b/crates/fleet/tests/simulated.rs
@@ -47,6 +47,8 @@
     sim.restart(4, 3);
     sim.run(12_000);
     assert!(sim.all_together(&BTreeSet::new()));
+    // It hears at once what it said before, and is not missed meanwhile.
+    assert_eq!(sim.deaths(), []);
     assert_eq!(sim.nodes[8].member(&name(4)).unwrap().facts.boot, 3);
 }
 
@@ -70,6 +72,7 @@
         .filter(|(_, node, event)| *node == 5 && matches!(event, Event::Suspected(_) | Event::Died(_)));
     assert_eq!(blamed.count(), 0);
     assert!(told.iter().any(|(_, node, event)| *node == 5 && *event == Event::Contradicted));
+    assert!(told.iter().any(|(_, node, event)| *node == 5 && matches!(event, Event::Slept(19_000..))));
 }
 
 // A hears B, B does not hear A: neither is declared dead while others hear both.
@@ -81,6 +84,8 @@
         sim.link = Box::new(|from, to, _| !(from == 3 && to == 4));
         sim.run(65_000);
         assert_eq!(sim.deaths(), []);
+        // Not even suspected: helpers hear it.
+        assert_eq!(sim.nodes.iter().map(|node| node.counts().suspected).sum::<u64>(), 0);
     }
 }
 
@@ -114,13 +119,14 @@
     let mut sim = Sim::new(20, 5, &Keys::none());
     sim.run(5_000);
     sim.link = Box::new(|from, to, _| from != 6 && to != 6);
-    sim.run(45_000);
+    // Longer than its longest suspicion.
+    sim.run(180_000);
     assert!(matches!(sim.nodes[6].standing(), Standing::Isolated { .. }));
     assert!(sim.nodes[6].members().all(|(_, member)| member.life != Life::Dead));
     assert_eq!(sim.hold((0..20).filter(|node| *node != 6), 6, Life::Dead), 19);
     assert!(sim.nodes[7].standing() == Standing::Together);
     sim.link = Box::new(|_, _, _| true);
-    sim.run(55_000);
+    sim.run(190_000);
     assert!(sim.all_together(&BTreeSet::new()));
     assert_eq!(sim.nodes[6].standing(), Standing::Together);
     assert!(sim.deaths().iter().all(|(_, _, dead)| *dead == name(6)));
