Log by tracing; JSON lines on request

log.rs goes: events are tracing's, written as today's text or, with [log] format = "json", as an object a line; the bound of 20 lines a second stays.

--- a/crates/node/src/admin/fleet.rs
+++ b/crates/node/src/admin/fleet.rs
@@ -374,7 +374,7 @@
     let permits = permits(api)?;
     let told = format!("{command:?}");
     permits.command(command, seen).await?;
-    crate::log::line(format_args!("permits: {} said {told}", caller.name));
+    tracing::info!("permits: {} said {told}", caller.name);
     Ok(StatusCode::NO_CONTENT.into_response())
 }
 
@@ -532,7 +532,7 @@
 async fn drain(State(api): State<Api>, Extension(caller): Extension<Caller>) -> Answer {
     caller.operates()?;
     api.control.fleet.drain(true);
-    crate::log::line(format_args!("{} told this node to drain", caller.name));
+    tracing::info!("{} told this node to drain", caller.name);
     Ok(StatusCode::ACCEPTED.into_response())
 }
 
@@ -625,7 +625,7 @@
     let pools = lists.into_iter().filter_map(pool).collect();
     let number = drains.order(server, reason, back, pools).await?;
     let what = if back { "takes back" } else { "drains" };
-    crate::log::line(format_args!("drains: {} {what} {server}, order {number}", caller.name));
+    tracing::info!("drains: {} {what} {server}, order {number}", caller.name);
     Ok((StatusCode::ACCEPTED, Json(serde_json::json!({ "number": number }))).into_response())
 }
 
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -99,7 +99,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                crate::log::line(format_args!("admin: accept: {error}"));
+                tracing::info!("admin: accept: {error}");
                 tokio::time::sleep(HANDOVER).await;
                 continue;
             }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -78,6 +78,7 @@
 
 fn serve(path: &Path) -> Result<(), Box<dyn Error>> {
     let config = read(path)?;
+    crate::telemetry::start(config.log);
     hosted::runtime()?.block_on(LocalSet::new().run_until(async {
         let mut term = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
@@ -87,14 +88,14 @@
                 _ = term.recv() => {}
                 _ = interrupt.recv() => {}
             }
-            crate::log::line(format_args!("{name} drains"));
+            tracing::info!("{name} drains");
         };
         let ready = |addresses: Addresses| {
             if let Some(admin) = addresses.admin {
-                crate::log::line(format_args!("{name} is administered on {admin}"));
+                tracing::info!("{name} is administered on {admin}");
             }
             for (listener, address) in &addresses.listeners {
-                crate::log::line(format_args!("{name} ({listener}) listens on {address}"));
+                tracing::info!("{name} ({listener}) listens on {address}");
             }
         };
         hosted::serve(config.clone(), None, stop, ready).await
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -199,9 +199,7 @@
             if revision > self.read(Catalogue::revision) {
                 let mut place = self.store.lock().await;
                 if let Err(error) = self.catch_up(&mut place).await {
-                    crate::log::line(format_args!(
-                        "catalogue: revision {revision} is not taken over: {error}"
-                    ));
+                    tracing::info!("catalogue: revision {revision} is not taken over: {error}");
                     drop(place);
                     tokio::time::sleep(AGAIN).await;
                     continue;
@@ -264,7 +262,7 @@
             while let Err(Failure::Store(error)) =
                 self.make(Edit::Finish { uid }, Condition::None, "node").await
             {
-                crate::log::line(format_args!("tenant {}: {error}", uid.0));
+                tracing::info!("tenant {}: {error}", uid.0);
                 tokio::time::sleep(AGAIN).await;
             }
         }
--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -169,7 +169,7 @@
         let socket = UdpSocket::bind(config.listen).await;
         let socket = socket.map_err(|error| format!("fleet.listen {}: {error}", config.listen))?;
         let addr = socket.local_addr().map_err(|error| error.to_string())?;
-        crate::log::line(format_args!("{name} is one of a fleet at {addr}"));
+        tracing::info!("{name} is one of a fleet at {addr}");
         let facts = Facts {
             boot: crate::control::now_ms(),
             addr: config.advertise.unwrap_or(addr),
@@ -261,7 +261,7 @@
 }
 
 fn tell(event: &Event) {
-    let line = |text: String| crate::log::line(format_args!("fleet: {text}"));
+    let line = |text: String| tracing::info!("fleet: {text}");
     match event {
         Event::Died(name) => line(format!("{name} is dead: it did not answer and did not contradict")),
         Event::Recovered(name) => line(format!("{name} lives")),
--- a/crates/node/src/fleet/permits.rs
+++ b/crates/node/src/fleet/permits.rs
@@ -309,7 +309,7 @@
             };
             if problem != told {
                 if let Some(problem) = &problem {
-                    crate::log::line(format_args!("{problem}"));
+                    tracing::info!("{problem}");
                 }
                 told = problem;
             }
@@ -325,19 +325,16 @@
         };
         match went {
             Ok(Ok(fence)) => {
-                crate::log::line(format_args!("permits: {} goes, by permit {fence}", self.0.me));
+                tracing::info!("permits: {} goes, by permit {fence}", self.0.me);
                 true
             }
             Ok(Err(why)) => {
-                crate::log::line(format_args!("permits: {} goes without a permit: {why}", self.0.me));
+                tracing::info!("permits: {} goes without a permit: {why}", self.0.me);
                 false
             }
             Err(hurry) => {
                 let why = self.why();
-                crate::log::line(format_args!(
-                    "permits: {} goes without a permit, {hurry}: {why}",
-                    self.0.me
-                ));
+                tracing::info!("permits: {} goes without a permit, {hurry}: {why}", self.0.me);
                 self.withdraw().await;
                 false
             }
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -215,9 +215,7 @@
                 match fresh {
                     Ok(orders) => *self.0.orders.lock().unwrap_or_else(PoisonError::into_inner) = orders,
                     Err(why) if unread.as_ref() != Some(&why) => {
-                        crate::log::line(format_args!(
-                            "drains: the orders cannot be read and stay as they were: {why}"
-                        ));
+                        tracing::info!("drains: the orders cannot be read and stay as they were: {why}");
                         unread = Some(why);
                     }
                     Err(_) => {}
@@ -231,7 +229,7 @@
                 } else {
                     "sends again"
                 };
-                crate::log::line(format_args!("drains: {} {why}", self.0.me));
+                tracing::info!("drains: {} {why}", self.0.me);
             }
             let now = wanted(&orders, fenced);
             if now != bars || applied.is_none() {
@@ -250,7 +248,7 @@
                     Ok(Ok(())) => unkept = None,
                     Ok(Err(error)) => {
                         let at = self.0.config.file.display();
-                        crate::log::line(format_args!("drains: {at}: {error}; nothing is said to be done"));
+                        tracing::info!("drains: {at}: {error}; nothing is said to be done");
                     }
                     Err(_) => {}
                 }
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -59,7 +59,7 @@
                 Err(error) => {
                     // Out of descriptors, accept fails at once and the connection stays: without
                     // a pause this loop would take the core that could close some.
-                    crate::log::line(format_args!("accept: {error}"));
+                    tracing::info!("accept: {error}");
                     self.sockets.evict();
                     sleep(Duration::from_millis(10)).await;
                 }
--- a/crates/node/src/hosted/config.rs
+++ b/crates/node/src/hosted/config.rs
@@ -20,6 +20,7 @@
 
 pub use crate::fleet::{DrainsConfig, FleetConfig, PermitsConfig};
 pub use crate::front::keys::Keys;
+use crate::telemetry::Format;
 
 /// Listeners, at most.
 pub const MOST_LISTENERS: usize = 64;
@@ -193,6 +194,8 @@
     pub zookeeper: Option<ZookeeperConfig>,
     /// The file of the authorities that servers with HTTP/3 are trusted by, if there is one.
     pub authorities: Option<PathBuf>,
+    /// How its log is written.
+    pub log: Format,
     /// The fleet that this node is one of, if it is.
     pub fleet: Option<FleetConfig>,
     /// Of the file: nodes with the same one have the same.
@@ -391,6 +394,17 @@
             pool_idle = reader.whole(&mut pools, "idle_s", 1..86_401);
             reader.done(pools);
         }
+        let mut log = Format::Text;
+        if let Some(mut section) = reader.section(top, "log") {
+            let format =
+                reader.value(&mut section, "format", "\"text\" or \"json\"", |value| match value.as_str() {
+                    Some("text") => Some(Format::Text),
+                    Some("json") => Some(Format::Json),
+                    _ => None,
+                });
+            log = format.unwrap_or_default();
+            reader.done(section);
+        }
         let listen = Self::listeners(reader, top, folder);
         let zookeeper = match reader.section(top, "zookeeper") {
             Some(mut section) => {
@@ -494,6 +508,7 @@
             admin,
             zookeeper,
             authorities,
+            log,
             fleet,
             digest: xxhash_rust::xxh3::xxh3_64(reader.text.as_bytes()) as u32,
             permits,
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -352,7 +352,7 @@
         }
         if let Some(path) = wanted {
             let Some((source, read)) = paths.join(&path, uid) else {
-                crate::log::line(format_args!("tenant {}: too many paths are watched", entry.view.name));
+                tracing::info!("tenant {}: too many paths are watched", entry.view.name);
                 return touched;
             };
             let views = entry.views();
--- a/crates/node/src/hosted/ephemeral.rs
+++ b/crates/node/src/hosted/ephemeral.rs
@@ -136,11 +136,11 @@
         }
         let new: Vec<&Fault> = news.faults.iter().filter(|fault| !held.faults.contains(fault)).collect();
         for Fault { child, problem } in new.iter().take(MOST_LOGGED) {
-            crate::log::line(format_args!("zookeeper {}/{path}/{child} is left out: {problem}", self.root));
+            tracing::info!("zookeeper {}/{path}/{child} is left out: {problem}", self.root);
         }
         if new.len() > MOST_LOGGED {
             let more = new.len() - MOST_LOGGED;
-            crate::log::line(format_args!("zookeeper {}/{path}: {more} more are left out", self.root));
+            tracing::info!("zookeeper {}/{path}: {more} more are left out", self.root);
         }
         held.faults = news.faults;
         true
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -299,18 +299,18 @@
             while hangup.recv().await.is_some() {
                 for certificate in &certificates {
                     match certificate.reload() {
-                        Ok(()) => crate::log::line(format_args!("certificate read again")),
-                        Err(error) => crate::log::line(format_args!("certificate kept: {error}")),
+                        Ok(()) => tracing::info!("certificate read again"),
+                        Err(error) => tracing::info!("certificate kept: {error}"),
                     }
                 }
                 if let Err(error) = authorities.reload() {
-                    crate::log::line(format_args!("authorities kept: {error}"));
+                    tracing::info!("authorities kept: {error}");
                 }
                 if let Some(members) = &members {
                     match members.reload().await {
-                        Ok(true) => crate::log::line(format_args!("fleet: keys read again")),
+                        Ok(true) => tracing::info!("fleet: keys read again"),
                         Ok(false) => {}
-                        Err(error) => crate::log::line(format_args!("fleet: keys kept: {error}")),
+                        Err(error) => tracing::info!("fleet: keys kept: {error}"),
                     }
                 }
             }
@@ -421,8 +421,8 @@
         };
         if told.as_ref() != Some(&now) {
             match &now {
-                None => crate::log::line(format_args!("zookeeper: connected")),
-                Some(why) => crate::log::line(format_args!("zookeeper: no connection: {why}")),
+                None => tracing::info!("zookeeper: connected"),
+                Some(why) => tracing::info!("zookeeper: no connection: {why}"),
             }
             told = Some(now);
         }
@@ -445,8 +445,8 @@
         };
         if now != told {
             match &now {
-                Some(why) => crate::log::line(format_args!("zookeeper: the node is not registered: {why}")),
-                None => crate::log::line(format_args!("zookeeper: the node is registered or withdrawn")),
+                Some(why) => tracing::info!("zookeeper: the node is not registered: {why}"),
+                None => tracing::info!("zookeeper: the node is registered or withdrawn"),
             }
             told = now;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,7 +34,6 @@
 mod front;
 #[cfg(feature = "hosted")]
 pub mod hosted;
-mod log;
 mod meter;
 #[cfg(feature = "hosted")]
 mod operate;
@@ -48,4 +47,5 @@
 #[cfg(feature = "hosted")]
 pub mod store;
 mod task;
+pub mod telemetry;
 mod upstream;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -120,19 +120,19 @@
         while hangup.recv().await.is_some() {
             match read(&path).and_then(|text| config::discovery_of(&text)) {
                 Ok(addr) => {
-                    crate::log::line(format_args!("configuration read again: discovery at {addr}"));
+                    tracing::info!("configuration read again: discovery at {addr}");
                     let _ = tx.send(Msg::Discovery(addr));
                 }
-                Err(error) => crate::log::line(format_args!("configuration kept: {error}")),
+                Err(error) => tracing::info!("configuration kept: {error}"),
             }
         }
     });
     let driver = spawn_local(driver.run(rx));
     let acceptor = spawn_local(clients.clone().accept(listener, Door::plain("")));
-    crate::log::line(format_args!("{} listens on {listen}", config.name));
+    tracing::info!("{} listens on {listen}", config.name);
     let drain = async {
         term.recv().await;
-        crate::log::line(format_args!("{} drains", config.name));
+        tracing::info!("{} drains", config.name);
         clients.drain().await;
     };
     // Without its driver or acceptor a node answers nobody; the platform starts a new one.
@@ -195,6 +195,7 @@
         `woodgap serve --config FILE`)",
     )?;
     let config = Config::read(&read(path)?, &env)?;
+    crate::telemetry::start(crate::telemetry::Format::Text);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(serve(config, path.clone())))
 }
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -250,7 +250,7 @@
             Due::Overdue(id) => {
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
-                        crate::log::line(format_args!("a request was not answered by its deadline"));
+                        tracing::info!("a request was not answered by its deadline");
                         let _ = reply.send((Answer::Late, held.at));
                         self.events.push_back(Event::Lapsed(request_id(id)));
                         // One with no attempt out ends here; nothing else would forget it.
@@ -417,7 +417,7 @@
                     peers.tell(peer, &data);
                 }
             }
-            Action::Log(line) => crate::log::line(format_args!("{line}")),
+            Action::Log(line) => tracing::info!("{line}"),
         }
     }
 
--- a/crates/node/src/sources/discovery.rs
+++ b/crates/node/src/sources/discovery.rs
@@ -106,7 +106,7 @@
 /// Watches from a revision on and hands on what comes until the watch ends; then says `Failed`.
 pub async fn watch(addr: SocketAddr, revision: u64, mut tell: impl FnMut(News)) {
     if let Err(reason) = follow(addr, revision, &mut tell).await {
-        crate::log::line(format_args!("discovery: {reason}"));
+        tracing::info!("discovery: {reason}");
     }
     tell(News::Failed);
 }
--- a/crates/node/src/store/shared.rs
+++ b/crates/node/src/store/shared.rs
@@ -303,7 +303,7 @@
             let changed = remote.ails != ails;
             if changed {
                 if let Some((_, why)) = &ails {
-                    crate::log::line(format_args!("catalogue: {why}"));
+                    tracing::info!("catalogue: {why}");
                 }
             }
             remote.ails = ails;
--- /dev/null
+++ b/crates/node/src/telemetry.rs
@@ -0,0 +1,71 @@
+//! Where the program's events go: standard error, a line each, at most so many a second.
+//!
+//! Events are `tracing`'s; whoever runs a node inside another program installs what it likes in place of this.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use tracing::{Event, Subscriber};
+use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+
+/// Lines a second, at most: a fault that repeats with every request must not cost the node its time.
+pub const LINES_PER_S: u32 = 20;
+
+/// How a line is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// The message alone.
+    #[default]
+    Text,
+    /// A JSON object: time, level, message and the event's fields.
+    #[cfg(feature = "hosted")]
+    Json,
+}
+
+struct Window {
+    since: Option<Instant>,
+    lines: u32,
+}
+
+/// Drops events beyond the bound, and tells how many.
+struct Bounded(Mutex<Window>);
+
+impl<S: Subscriber> Layer<S> for Bounded {
+    fn event_enabled(&self, _: &Event<'_>, _: Context<'_, S>) -> bool {
+        let (pass, dropped) = {
+            let mut window = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+            let now = Instant::now();
+            let mut dropped = 0;
+            if window.since.is_none_or(|since| now - since >= Duration::from_secs(1)) {
+                dropped = window.lines.saturating_sub(LINES_PER_S);
+                *window = Window { since: Some(now), lines: 0 };
+            }
+            window.lines += 1;
+            (window.lines <= LINES_PER_S, dropped)
+        };
+        if dropped > 0 {
+            tracing::info!("{dropped} lines dropped");
+        }
+        pass
+    }
+}
+
+/// Has events written from now on. Called again it changes nothing.
+pub fn start(format: Format) {
+    let bounded = Bounded(Mutex::new(Window { since: None, lines: 0 }));
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr);
+    let started = match format {
+        Format::Text => {
+            let lines = lines.with_target(false).with_level(false).without_time().with_ansi(false);
+            tracing_subscriber::registry().with(lines).with(bounded).try_init()
+        }
+        #[cfg(feature = "hosted")]
+        Format::Json => {
+            let lines = lines.json().flatten_event(true).with_target(false);
+            tracing_subscriber::registry().with(lines).with(bounded).try_init()
+        }
+    };
+    // Another one is there: the program's that this node runs in.
+    drop(started);
+}
--- a/crates/node/src/upstream/http3.rs
+++ b/crates/node/src/upstream/http3.rs
@@ -101,7 +101,7 @@
             Ok(link) => Rc::new(link),
             Err(error) => {
                 if !self.told.replace(true) {
-                    crate::log::line(format_args!("server {addr}: no HTTP/3 connection: {error}"));
+                    tracing::info!("server {addr}: no HTTP/3 connection: {error}");
                 }
                 return Err(error);
             }
--- a/crates/node/tests/program.rs
+++ b/crates/node/tests/program.rs
@@ -239,3 +239,23 @@
     }
     assert!(node.child.try_wait().unwrap().is_none());
 }
+
+// One JSON object a line where that is asked for, each with its message.
+#[test]
+fn the_log_is_json_on_request() {
+    let folder = folder(&format!("{CONFIG}[log]\nformat = 'json'\n"));
+    let mut child = command(&["serve"], folder.path()).stderr(Stdio::piped()).spawn().unwrap();
+    let log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut messages = Vec::new();
+    for line in log {
+        let line: serde_json::Value = serde_json::from_str(&line.unwrap()).unwrap();
+        assert!(line["timestamp"].is_string() && line["level"] == "INFO", "{line}");
+        messages.push(line["message"].as_str().unwrap().to_owned());
+        if messages.last().unwrap().contains("listens on") {
+            break;
+        }
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(messages[0].contains("n1 is administered on"), "{messages:?}");
+}
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -105,6 +105,7 @@
             zookeeper: None,
             authorities: None,
             admission: None,
+            log: Default::default(),
             fleet: None,
             digest: 0,
             permits: None,
