--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -260,9 +260,11 @@
     }
 }
 
-fn tell(event: &Event) {
+fn tell(fleet: &Fleet, event: &Event) {
+    let left = |name: &str| fleet.member(name).is_some_and(|member| member.facts.phase == Phase::Out);
     let line = |text: String| tracing::info!("fleet: {text}");
     match event {
+        Event::Died(name) if left(name) => line(format!("{name} has left")),
         Event::Died(name) => line(format!("{name} is dead: it did not answer and did not contradict")),
         Event::Recovered(name) => line(format!("{name} lives")),
         Event::Suspected(name) => line(format!("{name} is suspected")),
@@ -321,7 +323,7 @@
                 // What can't go out now is lost, as it may be anyway.
                 Action::Send(to, bytes) => drop(socket.try_send_to(&bytes, to)),
                 Action::Tell(event) => {
-                    tell(&event);
+                    tell(&fleet, &event);
                     changed = true;
                 }
             }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -5,7 +5,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use tracing::{Event, Subscriber};
+use tracing::level_filters::LevelFilter;
+use tracing::{Event, Level, Metadata, Subscriber};
 use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
 use tracing_subscriber::util::SubscriberInitExt;
 
@@ -28,10 +29,18 @@
     lines: u32,
 }
 
-/// Drops events beyond the bound, and tells how many.
+/// Takes the program's own events, not its libraries', drops those beyond the bound, and tells how many.
 struct Bounded(Mutex<Window>);
 
 impl<S: Subscriber> Layer<S> for Bounded {
+    fn enabled(&self, event: &Metadata<'_>, _: Context<'_, S>) -> bool {
+        *event.level() <= Level::INFO && event.target().starts_with("woodgap")
+    }
+
+    fn max_level_hint(&self) -> Option<LevelFilter> {
+        Some(LevelFilter::INFO)
+    }
+
     fn event_enabled(&self, _: &Event<'_>, _: Context<'_, S>) -> bool {
         let (pass, dropped) = {
             let mut window = self.0.lock().unwrap_or_else(PoisonError::into_inner);
