--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::process::Command;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use serde_json::{json, Value};
 use woodgap_testkit::admin::{spec, If};
-use woodgap_testkit::backend::second_effects;
+use woodgap_testkit::backend::{second_effects, Does};
 use woodgap_testkit::client::Ask;
 use woodgap_testkit::fleet::{Made, Rig};
 use woodgap_testkit::hosted::OPERATOR;
@@ -26,7 +26,7 @@
     let rig = Rig::started(program(), made).await.unwrap();
     let servers = [rig.backends[0].addr, rig.backends[1].addr];
     for node in rig.names() {
-        rig.admin(&node).unwrap().tenant("acme", &spec(1_000), &servers).await.unwrap();
+        rig.admin(&node).unwrap().tenant("acme", &spec(2_500), &servers).await.unwrap();
     }
     rig
 }
@@ -105,6 +105,33 @@
     assert_eq!(state(&rig, "n1").await.0, "back");
 }
 
+// What is in flight when the word comes is waited for, and nobody says that it has stopped before it surely has.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn it_is_not_safe_before_the_last_answer() {
+    let rig = fleet(30).await;
+    let server = &rig.backends[0];
+    server.does(Does::Serve(Duration::from_millis(1_500)));
+    let loads: Vec<_> = rig.names().iter().map(|node| load(&rig, node, Duration::from_millis(400))).collect();
+    until("all of it is on its way", || std::future::ready(server.requests() >= 10)).await;
+    let told = Instant::now();
+    order(&rig, "n1", false).await;
+    let waits = || async { state(&rig, "n2").await.0 == "waits" };
+    until("it is waited for", waits).await;
+    until("it is safe", || async { state(&rig, "n2").await.0 == "safe" }).await;
+    assert!(told.elapsed() > Duration::from_millis(1_000), "{:?}", told.elapsed());
+    for load in loads {
+        assert_eq!(load.await.unwrap().lost, 0);
+    }
+    // With nothing in flight it takes the time within which something may still be written.
+    server.does(Does::Serve(Duration::ZERO));
+    order(&rig, "n1", true).await;
+    until("it is back", || async { state(&rig, "n2").await.0 == "back" }).await;
+    let told = Instant::now();
+    order(&rig, "n1", false).await;
+    until("it is safe", || async { state(&rig, "n2").await.0 == "safe" }).await;
+    assert!(told.elapsed() >= Duration::from_millis(480), "{:?}", told.elapsed());
+}
+
 // One that is cut off from all is named, not assumed: it stops by itself, and only when that is certain is it safe.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn who_is_cut_off_is_named_until_its_end_is_proven() {
