--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -47,6 +47,9 @@
 scenario!(half_without_the_service_is_granted_nothing, "halves.toml", &["n1", "n2", "n3"]);
 scenario!(without_a_quorum_nothing_is_granted, "minority.toml", &["n1", "n2"]);
 scenario!(grants_stop_when_a_third_dies, "third_dies.toml", &["n1", "n2", "n4", "n5"]);
+scenario!(slow_links_kill_nobody, "slow.toml", &[]);
+scenario!(a_session_that_moves_keeps_its_place, "moved.toml", &["n1", "n2"]);
+scenario!(a_half_open_link_to_the_service_grants_nothing, "half_open.toml", &["n2"]);
 scenario!(a_second_signal_cuts_the_wait_short, "hurry.toml", &["n1", "n2"]);
 scenario!(a_drain_that_is_taken_back_leaves_nothing, "taken_back.toml", &["n1"]);
 
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -557,6 +557,16 @@
         Ok(())
     }
 
+    /// Leads a node to another address of the same service: its session goes on there.
+    ///
+    /// # Errors
+    /// Where there is no such node, or no address can be had.
+    pub async fn move_session(&mut self, node: &str) -> Result<(), Failed> {
+        let addr = self.service.also().await?;
+        self.place(node)?.service.lead(addr);
+        Ok(())
+    }
+
     /// What ails a node's way to a server and back.
     ///
     /// # Errors
--- a/crates/testkit/src/fleet/scenario.rs
+++ b/crates/testkit/src/fleet/scenario.rs
@@ -136,6 +136,11 @@
         /// Whether.
         on: bool,
     },
+    /// A node's session moves to another address of the service.
+    MoveSession {
+        /// Whose.
+        node: String,
+    },
     /// The service ends a node's session.
     EndSession {
         /// Whose.
@@ -342,6 +347,7 @@
             }
         }
         Step::Minority { on } => rig.service.minority(*on),
+        Step::MoveSession { node } => rig.move_session(node).await?,
         Step::EndSession { node } => {
             let session = rig.session(node).ok_or_else(|| format!("{node} has no session"))?;
             rig.service.end_session(session);
--- a/crates/testkit/src/links.rs
+++ b/crates/testkit/src/links.rs
@@ -225,6 +225,8 @@
     up: Ails,
     down: Ails,
     refuses: bool,
+    /// Where new connections go; those there are end with a change.
+    to: Option<SocketAddr>,
 }
 
 /// A relay of TCP connections to an address, until it is dropped.
@@ -247,9 +249,10 @@
     /// # Errors
     /// Where no port can be had.
     pub async fn start(to: SocketAddr, seed: u64) -> io::Result<Wire> {
+        let first = Both { to: Some(to), ..Both::default() };
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
-        let (both, chance) = (Arc::new(watch::Sender::new(Both::default())), Arc::new(Chance::new(seed)));
+        let (both, chance) = (Arc::new(watch::Sender::new(first)), Arc::new(Chance::new(seed)));
         let states = both.clone();
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
@@ -258,7 +261,7 @@
                     Ok((near, _)) = listener.accept() => {
                         let (states, chance) = (states.clone(), chance.clone());
                         if !states.borrow().refuses {
-                            connections.spawn(async move { drop(relay(near, to, &states, &chance).await) });
+                            connections.spawn(async move { drop(relay(near, &states, &chance).await) });
                         }
                     }
                     Some(_) = connections.join_next() => {}
@@ -274,20 +277,21 @@
         self.both.send_modify(|both| (both.up, both.down) = (up, down));
     }
 
+    /// Leads somewhere else from now on, and ends the connections there are.
+    pub fn lead(&self, to: SocketAddr) {
+        self.both.send_modify(|both| both.to = Some(to));
+    }
+
     /// Takes no connections from now on, and ends those there are; or takes them again.
     pub fn refuse(&self, refuses: bool) {
         self.both.send_modify(|both| both.refuses = refuses);
     }
 }
 
-async fn relay(
-    near: TcpStream,
-    to: SocketAddr,
-    states: &watch::Sender<Both>,
-    chance: &Chance,
-) -> io::Result<()> {
+async fn relay(near: TcpStream, states: &watch::Sender<Both>, chance: &Chance) -> io::Result<()> {
     let mut ended = states.subscribe();
     let _ = ended.wait_for(|both| !both.up.cut).await;
+    let to = ended.borrow().to.ok_or(io::ErrorKind::NotConnected)?;
     let far = TcpStream::connect(to).await?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
@@ -299,7 +303,7 @@
                 pump(far_in, near_out, states.subscribe(), chance, |both| both.down),
             )
         } => done.map(drop),
-        _ = ended.wait_for(|both| both.refuses) => Ok(()),
+        _ = ended.wait_for(|both| both.refuses || both.to != Some(to)) => Ok(()),
     }
 }
 
