A server that most nodes eject uses up its pool's budget; twelve ask for one permit

Each node tells marks of four servers that it ejects in its word; more than half of those who serve make it out. The module only lists what it ejects: no decision changed. Names are 30 bytes at most now, so that the longest word fits with the longest probe.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -377,6 +377,11 @@
         }
     }
 
+    /// The servers that are ejected now, for whoever asks: it decides nothing.
+    pub fn ejected(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.servers.iter().filter(|server| server.ejected.is_some()).map(|server| server.member.server)
+    }
+
     /// Takes one event and appends what to do to `out`.
     pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -51,6 +51,8 @@
 pub const MOST_RELAYED: usize = 256;
 /// Suspicions that are looked into at once, at most.
 pub const MOST_CHECKS: usize = 16;
+/// Servers that a node tells it ejects, at most.
+pub const EJECTED: usize = 4;
 /// What changed and was not taken yet, at most; the oldest goes.
 pub const MOST_ACTIONS: usize = 8_192;
 /// Members that confirm a suspicion, at most: after them it ends at its soonest.
@@ -91,6 +93,8 @@
     pub phase: Phase,
     /// Up to which order to drain servers it has done all: see `woodgap_permits::servers`.
     pub done: u32,
+    /// Marks of servers that it ejects, the lowest ones; 0 for none.
+    pub ejects: [u16; EJECTED],
 }
 
 /// Whether a node lives.
@@ -942,13 +946,25 @@
 
     fn learn(&mut self, now: Millis, update: &Update<'_>, page: bool) {
         match *update {
-            Update::Alive { name, incarnation, boot, addr, zone, version, config, role, phase, done } => {
+            Update::Alive {
+                name,
+                incarnation,
+                boot,
+                addr,
+                zone,
+                version,
+                config,
+                role,
+                phase,
+                done,
+                ejects,
+            } => {
                 if *name == *self.me {
                     self.outdo(incarnation, boot);
                     return;
                 }
                 let (zone, version, role) = (zone.to_owned(), version.to_owned(), role.to_owned());
-                let facts = Facts { boot, addr, zone, version, config, role, phase, done };
+                let facts = Facts { boot, addr, zone, version, config, role, phase, done, ejects };
                 let Some((name, member)) = self.members.get_key_value(name) else {
                     self.join(now, name, incarnation, facts, !page);
                     return;
@@ -1234,7 +1250,7 @@
 }
 
 fn word<'a>(name: &'a str, member: &'a Member) -> Update<'a> {
-    let Facts { boot, addr, zone, version, config, role, phase, done } = &member.facts;
+    let Facts { boot, addr, zone, version, config, role, phase, done, ejects } = &member.facts;
     Update::Alive {
         name,
         incarnation: member.incarnation,
@@ -1246,6 +1262,7 @@
         role,
         phase: *phase,
         done: *done,
+        ejects: *ejects,
     }
 }
 
--- a/crates/fleet/src/simulated.rs
+++ b/crates/fleet/src/simulated.rs
@@ -46,7 +46,17 @@
 fn facts(node: usize, boot: u64) -> Facts {
     let (zone, version) = (["a", "b", "c"][node % 3].to_owned(), "0.2.0".to_owned());
     let (role, phase) = ("node".to_owned(), Phase::Ready);
-    Facts { boot, addr: addr(node), zone, version, config: 7, role, phase, done: 0 }
+    Facts {
+        boot,
+        addr: addr(node),
+        zone,
+        version,
+        config: 7,
+        role,
+        phase,
+        done: 0,
+        ejects: [0; crate::EJECTED],
+    }
 }
 
 impl Sim {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -20,12 +20,12 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::Phase;
+use crate::{Phase, EJECTED};
 
 /// Bytes of a datagram, at most: as many as the platform's peers carry.
 pub const LONGEST: usize = 256;
 /// Bytes of a node's name, at most.
-pub const LONGEST_NAME: usize = 34;
+pub const LONGEST_NAME: usize = 30;
 /// Bytes of a zone's name, at most.
 pub const LONGEST_ZONE: usize = 20;
 /// Bytes of the program's version, at most.
@@ -225,6 +225,8 @@
         phase: Phase,
         /// Up to which order it has done all.
         done: u32,
+        /// Marks of servers that it ejects.
+        ejects: [u16; EJECTED],
     },
     /// It did not answer.
     Suspect {
--- a/crates/node/src/admin/fleet.rs
+++ b/crates/node/src/admin/fleet.rs
@@ -46,6 +46,8 @@
     /// Who suspects it.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     suspected_by: Vec<String>,
+    /// How many servers it tells that it ejects, 4 at most.
+    ejects: usize,
 }
 
 /// A permit, or the wish for one.
@@ -305,6 +307,7 @@
         config: None,
         boot_ms: None,
         suspected_by: Vec::new(),
+        ejects: 0,
     };
     if let Some(standing) = &standing {
         let roster = standing.ledger.iter().flat_map(|ledger| &ledger.roster);
@@ -331,6 +334,7 @@
         line.config = Some(member.config.clone());
         line.boot_ms = Some(member.boot_ms);
         line.suspected_by = member.suspected_by.clone();
+        line.ejects = member.ejects.iter().filter(|mark| **mark != 0).count();
     }
     let me = view.as_ref().map(|view| view.me.clone());
     let document = FleetDocument {
@@ -619,7 +623,10 @@
     let lists = api.control.servers(budgets.keys().cloned().collect()).await;
     let pool = |(name, servers): crate::hosted::Listed| {
         let budget = budgets.remove(&name)?;
-        let servers = servers.into_iter().map(|(addr, works)| (addr.to_string(), works)).collect();
+        let works = |(addr, works): (std::net::SocketAddr, bool)| {
+            (addr.to_string(), works && !drains.ejected_by_most(&addr))
+        };
+        let servers = servers.into_iter().map(works).collect();
         Some(Pool { name, budget, servers })
     };
     let pools = lists.into_iter().filter_map(pool).collect();
--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use woodgap_fleet::wire::{Keys, LONGEST, LONGEST_NAME, LONGEST_ZONE};
-use woodgap_fleet::{Action, Event, Facts, Fleet, Life, Phase, Settings, Standing};
+use woodgap_fleet::{Action, Event, Facts, Fleet, Life, Phase, Settings, Standing, EJECTED};
 
 /// What is told to others is looked at this often, where nothing changes: how long ago is part of it.
 const LOOK: Duration = Duration::from_secs(1);
@@ -114,6 +114,8 @@
     pub suspected_by: Vec<String>,
     /// Up to which order to drain servers it has done all.
     pub done: u32,
+    /// Marks of servers that it ejects; 0 for none.
+    pub ejects: [u16; EJECTED],
 }
 
 /// The fleet, as this node sees it.
@@ -146,6 +148,7 @@
 enum Word {
     Phase(Phase),
     Done(u32),
+    Ejects([u16; EJECTED]),
     Keys(Keys),
     Leave(tokio::sync::oneshot::Sender<()>),
 }
@@ -179,6 +182,7 @@
             role: "node".to_owned(),
             phase: Phase::Starting,
             done: 0,
+            ejects: [0; EJECTED],
         };
         let known = config.peers.iter().map(|(name, addr)| (Arc::from(name.as_str()), *addr)).collect();
         let fleet = Fleet::new(0, name, facts, known, keys, config.settings(), fastrand::u64(..));
@@ -203,6 +207,11 @@
         let _ = self.words.send(Word::Done(done)).await;
     }
 
+    /// Says which servers this node ejects.
+    pub async fn ejects(&self, ejects: [u16; EJECTED]) {
+        let _ = self.words.send(Word::Ejects(ejects)).await;
+    }
+
     /// How long a node may go on without noticing that it hears of nobody, among so many, in milliseconds.
     pub fn longest_suspicion(&self, members: usize) -> u64 {
         self.settings.longest_suspicion(members)
@@ -242,6 +251,7 @@
         incarnation: member.incarnation,
         suspected_by: member.by.iter().map(|by| by.to_string()).collect(),
         done: member.facts.done,
+        ejects: member.facts.ejects,
     };
     let standing = match fleet.standing() {
         Standing::Alone => "alone",
@@ -295,6 +305,7 @@
                 changed = true;
                 match word {
                     Some(Word::Phase(phase)) => fleet.say(|facts| facts.phase = phase),
+                    Some(Word::Ejects(ejects)) => fleet.say(|facts| facts.ejects = ejects),
                     Some(Word::Done(done)) => fleet.say(|facts| facts.done = done),
                     Some(Word::Keys(keys)) => fleet.rekey(keys),
                     Some(Word::Leave(done)) => {
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -16,14 +16,14 @@
 
 use tokio::time::Instant;
 use woodgap_decisions::ServerState;
-use woodgap_fleet::{Life, Phase};
+use woodgap_fleet::{Life, Phase, EJECTED};
 use woodgap_permits::servers::{answer, fenced, Answer, Contact, Orders, Pool, Witness};
 use woodgap_permits::{Budget, Refusal, Scope};
 use woodgap_zookeeper::board::{Board, Seen};
 use woodgap_zookeeper::names::Names;
 use woodgap_zookeeper::session::Service;
 
-use super::members::Members;
+use super::members::{Line, Members};
 use super::permits::{No, Permits};
 use crate::control::now_ms;
 use crate::hosted::directory::Tenants;
@@ -35,6 +35,8 @@
 const STOPPED: Duration = Duration::from_millis(500);
 /// How long a write may take, with all its tries.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// How often this node tells which servers it ejects.
+const TELLS: Duration = Duration::from_secs(1);
 /// Bytes of the file, at most.
 const LONGEST_FILE: u64 = 1 << 20;
 
@@ -210,6 +212,7 @@
         let mut seen = self.0.board.seen();
         let (mut applied, mut bars, mut said) = (None::<(Instant, Orders)>, Bars::default(), 0);
         let (mut unread, mut unkept) = (None, None);
+        let (mut told, mut told_at) = ([0; EJECTED], Instant::now());
         loop {
             if let Some(fresh) = self.fresh() {
                 match fresh {
@@ -261,6 +264,15 @@
                     self.0.members.done(u32::try_from(said).unwrap_or(u32::MAX)).await;
                 }
             }
+            if told_at.elapsed() >= TELLS {
+                told_at = Instant::now();
+                let looks = tenants.looks().await;
+                let ejected = marks(looks.iter().filter(|look| look.ejected).map(|look| look.addr));
+                if ejected != told {
+                    told = ejected;
+                    self.0.members.ejects(told).await;
+                }
+            }
             tokio::select! {
                 _ = seen.changed() => {}
                 () = tokio::time::sleep(if unkept.is_some() { STOPPED } else { LOOK }) => {}
@@ -272,7 +284,9 @@
     async fn upto(&self, orders: &Orders, tenants: &Tenants) -> u64 {
         let draining: Vec<(SocketAddr, u64)> =
             orders.draining().filter_map(|(addr, order)| Some((addr.parse().ok()?, order.number))).collect();
-        let busy = tenants.in_flight(&draining.iter().map(|(addr, _)| *addr).collect()).await;
+        let looks = tenants.looks().await;
+        let busy: BTreeSet<SocketAddr> =
+            looks.into_iter().filter(|look| look.out > 0).map(|look| look.addr).collect();
         let first = draining.iter().filter(|(addr, _)| busy.contains(addr)).map(|(_, number)| *number).min();
         first.map_or(orders.number, |first| first - 1)
     }
@@ -315,6 +329,15 @@
         self.0.members.longest_suspicion(members) + (*alone + *longest).as_millis() as u64
     }
 
+    /// Whether more than half of those that serve eject a server, as far as they told.
+    pub fn ejected_by_most(&self, server: &SocketAddr) -> bool {
+        let view = self.0.members.view().borrow().clone();
+        let serves = |line: &&Line| line.life == Life::Alive && line.phase == Phase::Ready;
+        let serving: Vec<&Line> = view.members.iter().filter(serves).collect();
+        let mark = mark(server);
+        serving.iter().filter(|line| line.ejects.contains(&mark)).count() * 2 > serving.len()
+    }
+
     /// The budgets of pools, by tenant.
     ///
     /// # Errors
@@ -360,6 +383,19 @@
     }
 }
 
+/// A server's address in the few bytes that a node's word has for it; never 0.
+fn mark(server: &SocketAddr) -> u16 {
+    (xxhash_rust::xxh3::xxh3_64(server.to_string().as_bytes()) as u16).max(1)
+}
+
+/// The lowest ones, so that nodes that eject the same tell the same.
+fn marks(servers: impl Iterator<Item = SocketAddr>) -> [u16; EJECTED] {
+    let all: BTreeSet<u16> = servers.map(|server| mark(&server)).collect();
+    let mut few = [0; EJECTED];
+    few.iter_mut().zip(all).for_each(|(place, mark)| *place = mark);
+    few
+}
+
 /// What orders have a node do.
 fn wanted(orders: &Orders, all: bool) -> Bars {
     let bar = |(addr, order): (&String, &woodgap_permits::servers::Order)| {
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -3,7 +3,6 @@
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
@@ -414,22 +413,20 @@
         self.entries.borrow_mut().values_mut().for_each(Entry::tell);
     }
 
-    /// At which of these servers attempts are out, of any pool.
-    pub async fn in_flight(&self, servers: &BTreeSet<SocketAddr>) -> BTreeSet<SocketAddr> {
+    /// All servers as the pools that run have them.
+    pub async fn looks(&self) -> Vec<Look> {
         let pools: Vec<mpsc::UnboundedSender<Msg>> = {
             let entries = self.entries.borrow();
             let pools = entries.values().flat_map(|entry| &entry.pools);
             pools.filter_map(mpsc::WeakUnboundedSender::upgrade).collect()
         };
-        let mut busy = BTreeSet::new();
+        let mut all = Vec::new();
         for pool in pools {
             let (reply, looks) = oneshot::channel();
             let _ = pool.send(Msg::Look(reply));
-            let looks = looks.await.unwrap_or_default();
-            let out = looks.into_iter().filter(|look| look.out > 0 && servers.contains(&look.addr));
-            busy.extend(out.map(|look| look.addr));
+            all.extend(looks.await.unwrap_or_default());
         }
-        busy
+        all
     }
 
     /// Requests held, of all tenants.
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -102,6 +102,8 @@
     pub addr: SocketAddr,
     /// Attempts that are out there.
     pub out: usize,
+    /// The pool sends it nothing for what it saw of it.
+    pub ejected: bool,
     /// Whether new work may go to it.
     pub in_service: bool,
     /// Connections that are kept open to it with nothing on them.
@@ -290,8 +292,10 @@
                 let attempts = self.held.values().flat_map(|held| held.attempts.iter().flatten());
                 let mut out: HashMap<ServerId, usize> = HashMap::new();
                 attempts.for_each(|attempt| *out.entry(attempt.server).or_default() += 1);
+                let ejected: std::collections::HashSet<ServerId> = self.balancer.ejected().collect();
                 for (server, look) in &mut looks {
                     look.out = out.get(server).copied().unwrap_or(0);
+                    look.ejected = ejected.contains(server);
                 }
                 drop(reply.send(looks.into_iter().map(|(_, look)| look).collect()));
             }
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -240,6 +240,7 @@
                 id: names.get(&server.0).cloned().unwrap_or_default(),
                 addr: entry.addr,
                 out: 0,
+                ejected: false,
                 in_service: entry.barred.is_none() && !entry.replaced,
                 idle_connections: entry.idle.len(),
             };
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -50,6 +50,11 @@
 scenario!(slow_links_kill_nobody, "slow.toml", &[]);
 scenario!(a_session_that_moves_keeps_its_place, "moved.toml", &["n1", "n2"]);
 scenario!(a_half_open_link_to_the_service_grants_nothing, "half_open.toml", &["n2"]);
+scenario!(
+    one_of_many_that_ask_at_once_has_the_last_permit,
+    "many_ask.toml",
+    &["n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9", "n10", "n11", "n12"]
+);
 scenario!(a_second_signal_cuts_the_wait_short, "hurry.toml", &["n1", "n2"]);
 scenario!(a_drain_that_is_taken_back_leaves_nothing, "taken_back.toml", &["n1"]);
 
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -226,3 +226,32 @@
     };
     until("the first is back and held", again).await;
 }
+
+// One server answers nobody: all nodes eject it, and it uses up the budget of its pool.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_most_nodes_eject_uses_up_the_budget() {
+    let rig = fleet(30).await;
+    let admin = rig.admin("n1").unwrap();
+    let seen = admin.get("fleet/bounds").await.unwrap();
+    let mut bounds = seen.body.clone();
+    bounds["budgets"]
+        .as_array_mut()
+        .unwrap()
+        .push(json!({"scope": "pool acme", "most_out": "1", "least_up": 1}));
+    admin.put("fleet/bounds", If::Match(&seen.etag.unwrap()), &bounds).await.unwrap();
+    rig.backends[1].does(Does::Reset);
+    let loads: Vec<_> = rig.names().iter().map(|node| load(&rig, node, Duration::from_secs(6))).collect();
+    let told = || async {
+        let view = rig.view("n1").await.unwrap_or_default();
+        let members = view["members"].as_array().cloned().unwrap_or_default();
+        members.iter().filter(|member| member["ejects"].as_u64() == Some(1)).count() == 3
+    };
+    until("all have told of it", told).await;
+    let path = format!("servers/{}/drain", rig.backends[0].addr);
+    let refused = rig.admin("n3").unwrap().put(&path, If::Unsaid, &json!({"reason": "too"})).await.unwrap();
+    let why = format!("pool acme has 2 servers, allows 1 out, and out are {}", rig.backends[1].addr);
+    assert!(refused.status == 422 && refused.body["detail"].as_str().unwrap().contains(&why), "{refused:?}");
+    for load in loads {
+        assert_eq!(load.await.unwrap().lost, 0);
+    }
+}
--- a/crates/testkit/src/fleet/scenario.rs
+++ b/crates/testkit/src/fleet/scenario.rs
@@ -99,6 +99,12 @@
         #[serde(default)]
         cancel: bool,
     },
+    /// Operators' drains of several in the same moment.
+    DrainAll {
+        /// Whose.
+        #[serde(default)]
+        nodes: Vec<String>,
+    },
     /// Cuts the ways between two groups.
     Cut {
         /// One.
@@ -215,6 +221,11 @@
         /// `none`, `asked`, `granted`, `draining`, `out`, `returning`.
         phase: String,
     },
+    /// So many have a permit or wait for one.
+    InLine {
+        /// So many.
+        count: usize,
+    },
     /// So many were granted ever, at most.
     GrantedAtMost {
         /// So many.
@@ -329,6 +340,19 @@
                 return Err(format!("{node} answered {answer:?}").into());
             }
         }
+        Step::DrainAll { nodes } => {
+            let admins = meant(rig, nodes).into_iter().filter_map(|node| rig.admin(&node));
+            let mut asks = tokio::task::JoinSet::new();
+            for admin in admins {
+                asks.spawn(async move { admin.call(Method::PUT, "drain", If::Unsaid, None).await });
+            }
+            while let Some(answer) = asks.join_next().await {
+                let answer = answer??;
+                if answer.status != 202 {
+                    return Err(format!("{answer:?}").into());
+                }
+            }
+        }
         Step::Cut { from, to, one_way } => rig.between(from, to, Ails::CUT, *one_way),
         Step::Ail { from, to, ails, one_way } => {
             let (from, to) = (meant(rig, from), meant(rig, to));
@@ -422,6 +446,10 @@
             let now = rig.phase(node).map_or("none".to_owned(), |now| format!("{now:?}").to_lowercase());
             (now == *phase).then_some(()).ok_or_else(|| format!("the permit of {node} is {now}").into())
         }
+        That::InLine { count } => {
+            let now = rig.ledger().permits.len();
+            (now == *count).then_some(()).ok_or_else(|| format!("{now} are in line").into())
+        }
         That::GrantedAtMost { count } => {
             let fence = rig.ledger().fence;
             (fence <= *count).then_some(()).ok_or_else(|| format!("{fence} were granted").into())
