--- a/crates/testkit/src/fleet/scenario.rs
+++ b/crates/testkit/src/fleet/scenario.rs
@@ -99,6 +99,12 @@
         #[serde(default)]
         cancel: bool,
     },
+    /// Operators' drains of several in the same moment.
+    DrainAll {
+        /// Whose.
+        #[serde(default)]
+        nodes: Vec<String>,
+    },
     /// Cuts the ways between two groups.
     Cut {
         /// One.
@@ -136,6 +142,11 @@
         /// Whether.
         on: bool,
     },
+    /// A node's session moves to another address of the service.
+    MoveSession {
+        /// Whose.
+        node: String,
+    },
     /// The service ends a node's session.
     EndSession {
         /// Whose.
@@ -210,6 +221,11 @@
         /// `none`, `asked`, `granted`, `draining`, `out`, `returning`.
         phase: String,
     },
+    /// So many have a permit or wait for one.
+    InLine {
+        /// So many.
+        count: usize,
+    },
     /// So many were granted ever, at most.
     GrantedAtMost {
         /// So many.
@@ -324,6 +340,19 @@
                 return Err(format!("{node} answered {answer:?}").into());
             }
         }
+        Step::DrainAll { nodes } => {
+            let admins = meant(rig, nodes).into_iter().filter_map(|node| rig.admin(&node));
+            let mut asks = tokio::task::JoinSet::new();
+            for admin in admins {
+                asks.spawn(async move { admin.call(Method::PUT, "drain", If::Unsaid, None).await });
+            }
+            while let Some(answer) = asks.join_next().await {
+                let answer = answer??;
+                if answer.status != 202 {
+                    return Err(format!("{answer:?}").into());
+                }
+            }
+        }
         Step::Cut { from, to, one_way } => rig.between(from, to, Ails::CUT, *one_way),
         Step::Ail { from, to, ails, one_way } => {
             let (from, to) = (meant(rig, from), meant(rig, to));
@@ -342,6 +371,7 @@
             }
         }
         Step::Minority { on } => rig.service.minority(*on),
+        Step::MoveSession { node } => rig.move_session(node).await?,
         Step::EndSession { node } => {
             let session = rig.session(node).ok_or_else(|| format!("{node} has no session"))?;
             rig.service.end_session(session);
@@ -416,6 +446,10 @@
             let now = rig.phase(node).map_or("none".to_owned(), |now| format!("{now:?}").to_lowercase());
             (now == *phase).then_some(()).ok_or_else(|| format!("the permit of {node} is {now}").into())
         }
+        That::InLine { count } => {
+            let now = rig.ledger().permits.len();
+            (now == *count).then_some(()).ok_or_else(|| format!("{now} are in line").into())
+        }
         That::GrantedAtMost { count } => {
             let fence = rig.ledger().fence;
             (fence <= *count).then_some(()).ok_or_else(|| format!("{fence} were granted").into())
