A node that restarts in the smaller half of a cut sends nothing new either

Cause: without the service it knew no roster, and took any it heard for most of the fleet. The roster's size is kept beside the orders; one that never knew it counts as cut off.

--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -11,9 +11,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use woodgap_decisions::ServerState;
 use woodgap_fleet::{Life, Phase, EJECTED};
@@ -97,16 +99,27 @@
     contact: Mutex<Contact>,
     /// What was read last, now or by an earlier process.
     orders: Mutex<Orders>,
+    /// How many were on the roster when it was read last.
+    roster: AtomicUsize,
 }
 
 /// This node's part in servers' drains.
 #[derive(Clone)]
 pub struct Drains(Arc<Inner>);
 
-fn read(path: &Path) -> Result<Orders, String> {
+/// What the file holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Kept {
+    /// What was read last.
+    orders: Orders,
+    /// How many were on the roster then; 0 where that was never known.
+    roster: usize,
+}
+
+fn read(path: &Path) -> Result<Kept, String> {
     let at = path.display();
     match std::fs::metadata(path) {
-        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(Orders::default()),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(Kept::default()),
         Err(error) => return Err(format!("permits.servers.file {at}: {error}")),
         Ok(meta) if meta.len() > LONGEST_FILE => {
             return Err(format!("permits.servers.file {at}: {} bytes are no file of ours", meta.len()));
@@ -120,11 +133,11 @@
 }
 
 /// Aside, synced, and put in its place: whoever reads it reads one or the other, whole.
-fn write(path: &Path, orders: &Orders) -> std::io::Result<()> {
+fn write(path: &Path, kept: &Kept) -> std::io::Result<()> {
     use std::io::Write;
     let aside = path.with_extension("new");
     let mut file = std::fs::File::create(&aside)?;
-    file.write_all(&serde_json::to_vec(orders)?)?;
+    file.write_all(&serde_json::to_vec(kept)?)?;
     file.sync_all()?;
     std::fs::rename(&aside, path)?;
     std::fs::File::open(
@@ -145,12 +158,23 @@
         members: Members,
         permits: Permits,
     ) -> Result<Drains, String> {
-        let orders = read(&config.file)?;
+        let Kept { orders, roster } = read(&config.file)?;
         let board = Board::start(service, path);
         let names = Names::start(service, register);
         let contact = Mutex::new(Contact { service: 0, most: 0 });
         let (start, orders) = (Instant::now(), Mutex::new(orders));
-        Ok(Drains(Arc::new(Inner { me, config, board, names, members, permits, start, contact, orders })))
+        Ok(Drains(Arc::new(Inner {
+            me,
+            config,
+            board,
+            names,
+            members,
+            permits,
+            start,
+            contact,
+            orders,
+            roster: AtomicUsize::new(roster),
+        })))
     }
 
     fn now(&self) -> u64 {
@@ -181,9 +205,13 @@
     /// How many serve by the fleet, and how many there are by the roster.
     fn most(&self) -> bool {
         let view = self.0.members.view().borrow().clone();
-        let roster = self.0.permits.standing().ledger.map_or(0, |ledger| ledger.roster.len());
+        if let Some(ledger) = self.0.permits.standing().ledger {
+            self.0.roster.store(ledger.roster.len(), Ordering::Relaxed);
+        }
+        // One that never knew the roster can't say that it hears most of it.
+        let roster = self.0.roster.load(Ordering::Relaxed);
         let alive = view.members.iter().filter(|line| line.life == Life::Alive).count();
-        view.standing == "together" && alive * 2 > roster
+        view.standing == "together" && roster > 0 && alive * 2 > roster
     }
 
     /// Whether this node may send nothing new.
@@ -211,7 +239,7 @@
     pub(crate) async fn keep(self, tenants: Rc<Tenants>) {
         let mut seen = self.0.board.seen();
         let (mut applied, mut bars, mut said) = (None::<(Instant, Orders)>, Bars::default(), 0);
-        let (mut unread, mut unkept) = (None, None);
+        let (mut unread, mut last, mut unkept) = (None, None, None);
         let (mut told, mut told_at) = ([0; EJECTED], Instant::now());
         loop {
             if let Some(fresh) = self.fresh() {
@@ -239,15 +267,19 @@
                 tenants.bar(now.clone());
                 bars = now;
             }
+            let kept = Kept { orders: orders.clone(), roster: self.0.roster.load(Ordering::Relaxed) };
             if applied.as_ref().is_none_or(|(_, last)| *last != orders) {
                 applied = Some((Instant::now(), orders.clone()));
-                unkept = Some(orders.clone());
+            }
+            if last != Some(kept.clone()) {
+                last = Some(kept.clone());
+                unkept = Some(kept);
             }
             // On disk before it is said: the next process of this name goes by it.
-            if let Some(orders) = unkept.clone() {
+            if let Some(kept) = unkept.clone() {
                 let path = self.0.config.file.clone();
-                let kept = tokio::task::spawn_blocking(move || write(&path, &orders)).await;
-                match kept {
+                let written = tokio::task::spawn_blocking(move || write(&path, &kept)).await;
+                match written {
                     Ok(Ok(())) => unkept = None,
                     Ok(Err(error)) => {
                         let at = self.0.config.file.display();
@@ -449,14 +481,14 @@
     fn orders_are_kept_whole_or_not_at_all() {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("drains.json");
-        assert_eq!(read(&path).unwrap(), Orders::default());
-        let mut orders = Orders::default();
-        orders.drain(1, "127.0.0.1:9", "x", &[], 0).unwrap();
-        write(&path, &orders).unwrap();
-        assert_eq!(read(&path).unwrap(), orders);
+        assert_eq!(read(&path).unwrap(), Kept::default());
+        let mut kept = Kept { roster: 3, ..Kept::default() };
+        kept.orders.drain(1, "127.0.0.1:9", "x", &[], 0).unwrap();
+        write(&path, &kept).unwrap();
+        assert_eq!(read(&path).unwrap(), kept);
         // A write that was cut short left its file aside.
         std::fs::write(path.with_extension("new"), b"{").unwrap();
-        assert_eq!(read(&path).unwrap(), orders);
+        assert_eq!(read(&path).unwrap(), kept);
         std::fs::write(&path, b"{").unwrap();
         assert!(read(&path).unwrap_err().contains("take it away only where no server drains"));
     }
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -22,7 +22,11 @@
 
 /// Three nodes before two servers.
 async fn fleet(alone_s: u32) -> Rig {
-    let made = Made { servers: 2, interval_ms: 50, alone_s: Some(alone_s), ..Made::default() };
+    fleet_of(3, alone_s).await
+}
+
+async fn fleet_of(nodes: usize, alone_s: u32) -> Rig {
+    let made = Made { nodes, servers: 2, interval_ms: 50, alone_s: Some(alone_s), ..Made::default() };
     let rig = Rig::started(program(), made).await.unwrap();
     let servers = [rig.backends[0].addr, rig.backends[1].addr];
     for node in rig.names() {
@@ -255,3 +259,26 @@
         assert_eq!(load.await.unwrap().lost, 0);
     }
 }
+
+// The smaller half of a cut hears one another. Neither that nor a restart there lets it send on: the other half may
+// conclude that it has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_that_restarts_in_the_smaller_half_stops_too() {
+    let mut rig = fleet_of(5, 1).await;
+    let (some, others) = (["n1", "n2", "n3"].map(str::to_owned), ["n4", "n5"].map(str::to_owned));
+    rig.between(&some, &others, Ails::CUT, false);
+    for node in &others {
+        rig.to_service(node, Ails::CUT, Ails::CUT).unwrap();
+    }
+    until("n4 stops", || std::future::ready(rig.said("n4", "sends nothing new"))).await;
+    until("n5 stops", || std::future::ready(rig.said("n5", "sends nothing new"))).await;
+    rig.kill("n5").unwrap();
+    let from = rig.now();
+    rig.start("n5").unwrap();
+    let stops = || std::future::ready(rig.said_at("n5", "sends nothing new", from).is_some());
+    until("it stops again", stops).await;
+    let heard = || async { rig.alive("n5").await.is_some_and(|alive| alive.contains("n4")) };
+    until("it hears the other of its half", heard).await;
+    let refused = load(&rig, "n5", Duration::from_millis(300)).await.unwrap();
+    assert_eq!((refused.served, refused.lost), (0, 0), "{refused:?}");
+}
