Count as contact only members that were heard, not those told of by others

Cause: a node that restarts in the smaller half of a cut learns the other half from its neighbour, who may hold it for alive until its suspicions end; so it took itself for one of most and sent.

--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -112,6 +112,8 @@
     pub incarnation: u64,
     /// Who suspects it.
     pub suspected_by: Vec<String>,
+    /// It is this node, or a datagram of its own came: what others say of it can be old.
+    pub heard: bool,
     /// Up to which order to drain servers it has done all.
     pub done: u32,
     /// Marks of servers that it ejects; 0 for none.
@@ -250,6 +252,7 @@
         boot_ms: member.facts.boot,
         incarnation: member.incarnation,
         suspected_by: member.by.iter().map(|by| by.to_string()).collect(),
+        heard: member.heard > 0 || name == fleet.me(),
         done: member.facts.done,
         ejects: member.facts.ejects,
     };
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -210,7 +210,8 @@
         }
         // One that never knew the roster can't say that it hears most of it.
         let roster = self.0.roster.load(Ordering::Relaxed);
-        let alive = view.members.iter().filter(|line| line.life == Life::Alive).count();
+        // One that has just started takes others' word for alive until it finds out: that is no contact.
+        let alive = view.members.iter().filter(|line| line.life == Life::Alive && line.heard).count();
         view.standing == "together" && roster > 0 && alive * 2 > roster
     }
 
--- a/crates/node/tests/servers.rs
+++ b/crates/node/tests/servers.rs
@@ -67,6 +67,19 @@
     assert_eq!(reply.status, 202, "{reply:?}");
 }
 
+/// One server of the pool may be out, from now on.
+async fn one_of_the_pool(rig: &Rig) {
+    let admin = rig.admin("n1").unwrap();
+    let seen = admin.get("fleet/bounds").await.unwrap();
+    let mut bounds = seen.body.clone();
+    bounds["budgets"]
+        .as_array_mut()
+        .unwrap()
+        .push(json!({"scope": "pool acme", "most_out": "1", "least_up": 1}));
+    let given = admin.put("fleet/bounds", If::Match(&seen.etag.unwrap()), &bounds).await.unwrap();
+    assert_eq!(given.status, 204, "{given:?}");
+}
+
 // Told once at one node: all stop within 500 ms, it is safe once all have said so, and nothing comes after that. Back, it
 // takes work again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -208,15 +221,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_budget_of_a_pool_keeps_the_second_server() {
     let rig = fleet(30).await;
-    let admin = rig.admin("n1").unwrap();
-    let seen = admin.get("fleet/bounds").await.unwrap();
-    let mut bounds = seen.body.clone();
-    bounds["budgets"]
-        .as_array_mut()
-        .unwrap()
-        .push(json!({"scope": "pool acme", "most_out": "1", "least_up": 1}));
-    let given = admin.put("fleet/bounds", If::Match(&seen.etag.unwrap()), &bounds).await.unwrap();
-    assert_eq!(given.status, 204, "{given:?}");
+    one_of_the_pool(&rig).await;
     order(&rig, "n2", false).await;
     let path = format!("servers/{}/drain", rig.backends[1].addr);
     let refused = rig.admin("n3").unwrap().put(&path, If::Unsaid, &json!({"reason": "too"})).await.unwrap();
@@ -235,14 +240,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_server_that_most_nodes_eject_uses_up_the_budget() {
     let rig = fleet(30).await;
-    let admin = rig.admin("n1").unwrap();
-    let seen = admin.get("fleet/bounds").await.unwrap();
-    let mut bounds = seen.body.clone();
-    bounds["budgets"]
-        .as_array_mut()
-        .unwrap()
-        .push(json!({"scope": "pool acme", "most_out": "1", "least_up": 1}));
-    admin.put("fleet/bounds", If::Match(&seen.etag.unwrap()), &bounds).await.unwrap();
+    one_of_the_pool(&rig).await;
     rig.backends[1].does(Does::Reset);
     let loads: Vec<_> = rig.names().iter().map(|node| load(&rig, node, Duration::from_secs(6))).collect();
     let told = || async {
