Learn what each kind of server can do where the list tells no sizes

A server's own answers can't mend it: one of 300 nodes gets 0.1 of them a second, a share gives up slots after three, and gets back a tenth a second meanwhile. Ruled out: connections (none failed), zones (by their mix of kinds), hot keys. Change: the list's kind reaches the module; a node pools answers by kind (table.rs, outcome.rs) and takes from the slots of those that answer slower than the rest until all answer alike (kinds.rs). Off where sizes are told.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -11,7 +11,7 @@
 pub type Micros = u64;
 
 /// A server, as discovery names it. Stable over restarts of its process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// A request, opaque to the module. Shorter ids are padded by the host.
@@ -38,6 +38,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CellId(pub u64);
 
+/// A kind of server: those of one kind are of about one size. Made from the kind's name alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u64);
+
 /// Number of a timer, chosen by the module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TimerId(pub u64);
@@ -209,9 +213,10 @@
 }
 
 /// What discovery says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// Its process runs.
+    #[default]
     InService,
     /// It completes its work and takes nothing new.
     Terminating,
@@ -220,7 +225,7 @@
 }
 
 /// A server on a list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Member {
     /// Which server.
     pub server: ServerId,
@@ -228,6 +233,8 @@
     pub zone: ZoneId,
     /// Its cell.
     pub cell: CellId,
+    /// Its kind; the default where nobody tells.
+    pub kind: KindId,
     /// Its state.
     pub state: ServerState,
     /// Its weight against other servers.
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -6,6 +6,7 @@
 
 mod cold;
 mod health;
+mod kinds;
 mod limit;
 mod links;
 mod outcome;
@@ -20,15 +21,8 @@
 use fastrand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::{cold::*, health::*, kinds::*, limit::*, requests::*, retry::*, route::*, server::*, table::*};
 use crate::api::*;
-use cold::*;
-use health::*;
-use limit::*;
-use requests::*;
-use retry::*;
-use route::*;
-use server::*;
-use table::*;
 
 pub use table::{build_table, TABLE_SLOTS};
 
@@ -57,6 +51,8 @@
     failing: f64,
     /// Part of the latest attempts that got no connection.
     unlinked: f64,
+    /// Answer times against their classes' norms, smoothed.
+    ratio: f64,
     /// Most requests that this node keeps in flight; unlimited until servers turn some away.
     limit: f64,
     /// What is in flight, smoothed.
@@ -80,6 +76,7 @@
     now: Micros,
     servers: Vec<Server>,
     index: HashMap<ServerId, usize>,
+    kinds: Vec<Kind>,
     table: Vec<u32>,
     stale_table: bool,
     size_total: f64,
@@ -107,6 +104,7 @@
             now: 0,
             servers: Vec::new(),
             index: HashMap::new(),
+            kinds: Vec::new(),
             table: Vec::new(),
             stale_table: false,
             size_total: 0.0,
@@ -117,7 +115,7 @@
             hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
-            mood: Mood { limit: f64::INFINITY, ..Mood::default() },
+            mood: Mood { limit: f64::INFINITY, ratio: 1.0, ..Mood::default() },
             subscribed: false,
             refusals: 0,
             settings,
--- a/crates/decisions/src/brain/cold.rs
+++ b/crates/decisions/src/brain/cold.rs
@@ -26,7 +26,8 @@
         if spent || ejected {
             0.0
         } else {
-            server.share.min(warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0))
+            (server.share * self.kinds[server.kind].pull)
+                .min(warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0))
         }
     }
 }
--- a/crates/decisions/src/brain/health.rs
+++ b/crates/decisions/src/brain/health.rs
@@ -123,10 +123,10 @@
             if !server.ready {
                 continue;
             }
-            self.close_rested(i, 0, out);
-            let server = &self.servers[i];
             let (size, warmth) = (server.member.size, self.warmth(server));
             let gain = pace * size * warmth;
+            self.close_rested(i, 0, out);
+            let server = &self.servers[i];
             total += size;
             able += size * warmth * f64::from(u8::from(server.ejected.is_none()));
             let quiet = server.inflight > 0 && self.now > server.quiet_since + silence;
@@ -134,9 +134,7 @@
                 self.eject(i);
             }
             // It speaks, but not to a class: a release may swallow one and serve the others. Waiting for the
-            // time-outs would lose all that is sent meanwhile, and count them against the whole server and
-            // the limit. One attempt alone may just be heavy. Hurts a class whose work varies far more than
-            // the others': its server is passed by for it for a second.
+            // time-outs would count them against the whole server. One attempt alone may just be heavy.
             for class in 0..self.servers[i].health.len() {
                 let health = &self.servers[i].health[class];
                 let mute = health.out > 1 && self.now > health.quiet_since + silence;
@@ -157,6 +155,7 @@
                 None => server.correct_share(),
             }
         }
+        self.weigh_kinds();
         self.mood.able = able;
         self.mood.limit *= LIMIT_REGAIN;
         self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
@@ -167,9 +166,8 @@
 
     /// Lets the counts of traffic fade.
     pub(super) fn forget(&mut self) {
-        self.mood.taken *= HOT_KEEP;
-        self.mood.sends *= HOT_KEEP;
-        self.mood.served *= HOT_KEEP;
+        let mood = &mut self.mood;
+        [&mut mood.taken, &mut mood.sends, &mut mood.served].into_iter().for_each(|count| *count *= HOT_KEEP);
         self.window = self.window * HOT_KEEP + SWEEP as f64 / 1e6;
         for hot in &mut self.hot {
             hot.count *= HOT_KEEP;
--- a/crates/decisions/src/brain/outcome.rs
+++ b/crates/decisions/src/brain/outcome.rs
@@ -72,7 +72,7 @@
         let util = self.settings.util_field.and_then(|field| closed.load.get(field));
         server.util = util.copied().or(server.util);
         let answered = closed.outcome == Outcome::Ok;
-        let mut late = false;
+        let (mut late, mut slow) = (false, None);
         // An attempt that timed out was at least as slow as that. Where no word of its server came after
         // it and few servers are out, that one hangs: no sign of more work than the others can do.
         let silent = server.quiet_since + closed.spent <= self.now;
@@ -81,8 +81,10 @@
             late = !hung && (timed_out || closed.spent > self.settings.classes[class].aim);
             let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
             self.mood.late += 0.03 * (sign - self.mood.late);
-            server.ratio += 0.15 * ((spent / norm.mean.max(1.0)).min(5.0) - server.ratio);
+            let ratio = (spent / norm.mean.max(1.0)).min(5.0);
+            server.ratio += 0.15 * (ratio - server.ratio);
             server.answers += 1;
+            slow = Some((server.kind, ratio));
         }
         if answered {
             self.mood.served += 1.0;
@@ -96,6 +98,9 @@
         if answered || full {
             server.reinstate();
         }
+        if let Some((kind, ratio)) = slow {
+            self.observe_kind(kind, ratio);
+        }
         let unlinked = f64::from(u8::from(closed.outcome == Outcome::ConnectFailed));
         self.mood.unlinked += 0.03 * (unlinked - self.mood.unlinked);
         self.servers[i].linked = Some(self.now);
--- a/crates/decisions/src/brain/requests.rs
+++ b/crates/decisions/src/brain/requests.rs
@@ -125,8 +125,8 @@
     /// The final answer when nothing more is tried: a refusal where it is lawful.
     pub(super) fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if self.may_refuse(&self.requests[&id]) {
-            // Whom a refusal sends away comes back at once where nobody says when, and to no better place.
-            // Where a late answer earns nothing, a repeat comes too late to be worth anything.
+            // Whom a refusal sends away comes back at once where nobody says when, and to no better place;
+            // where a late answer earns nothing, too late to be worth anything.
             let class = &self.settings.classes[self.requests[&id].class];
             let gone = class.late_share == 0.0 && self.settings.max_retry_after >= class.deadline;
             let advice = if gone { class.deadline } else { COME_BACK.min(self.settings.max_retry_after) };
--- a/crates/decisions/src/brain/server.rs
+++ b/crates/decisions/src/brain/server.rs
@@ -17,8 +17,10 @@
 /// Share of a server just back from ejection.
 pub(super) const BACK_SHARE: f64 = 0.3;
 
+#[derive(Default)]
 pub(super) struct Server {
     pub(super) member: Member,
+    pub(super) kind: usize,
     /// On the list and in service.
     pub(super) ready: bool,
     pub(super) inflight: u32,
@@ -50,26 +52,9 @@
 }
 
 impl Server {
-    pub(super) fn new(member: Member, budget: f64) -> Self {
-        Server {
-            ready: member.state == ServerState::InService,
-            member,
-            inflight: 0,
-            quiet_since: 0,
-            share: 1.0,
-            ratio: 1.0,
-            answers: 0,
-            failing: 0.0,
-            ejections: 0,
-            ejected: None,
-            out_since: 0,
-            trial: false,
-            budget,
-            turned: 0.0,
-            util: None,
-            health: Vec::new(),
-            linked: None,
-        }
+    pub(super) fn new(member: Member, kind: usize, budget: f64) -> Self {
+        let ready = member.state == ServerState::InService;
+        Server { ready, member, kind, share: 1.0, ratio: 1.0, budget, ..Server::default() }
     }
 
     pub(super) fn health(&mut self, class: usize) -> &mut Health {
--- a/crates/decisions/src/brain/table.rs
+++ b/crates/decisions/src/brain/table.rs
@@ -137,12 +137,13 @@
             member.size = 1.0;
         }
         // Nodes begin apart within their first attempt, or all would send it at once: about one does.
+        let kind = if unweighted { self.kind(member.kind) } else { self.kind(KindId::default()) };
         let budget = self.rng.f64() + 1.0 / f64::from(self.settings.group_size);
         let Some(&i) = self.index.get(&member.server) else {
             if ready {
                 self.stale_table = true;
                 self.index.insert(member.server, self.servers.len());
-                self.servers.push(Server::new(member, budget));
+                self.servers.push(Server::new(member, kind, budget));
             }
             return;
         };
@@ -151,7 +152,7 @@
         if member.since != old.member.since {
             // A restarted process owes nothing to what the old one did.
             let inflight = old.inflight;
-            *old = Server { inflight, quiet_since: self.now, ..Server::new(member, budget) };
+            *old = Server { inflight, quiet_since: self.now, ..Server::new(member, kind, budget) };
         } else {
             old.member = member;
         }
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -48,6 +48,11 @@
     Ok(value)
 }
 
+/// The kind of this name; no name is the default kind.
+pub fn kind_of(name: &str) -> KindId {
+    KindId(if name.is_empty() { 0 } else { xxhash_rust::xxh3::xxh3_64(name.as_bytes()) })
+}
+
 /// Numbers for the names of zones, given out as they are met.
 #[derive(Default)]
 pub struct Zones(HashMap<String, u32>);
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -33,6 +33,7 @@
     Member {
         server: ServerId(server),
         zone: ZoneId(server % 2),
+        kind: KindId::default(),
         cell: CellId(u64::from(server / 4)),
         state: ServerState::InService,
         size: 1.0,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -122,6 +122,8 @@
     pub zone: String,
     /// Its cell.
     pub cell: u64,
+    /// Its kind, as its source names it: those of one kind are of about one size. May be empty.
+    pub kind: String,
     /// Its weight.
     pub size: f64,
     /// When its process started, Unix time in milliseconds, 0 for long ago; `None` where the source does
@@ -197,6 +199,8 @@
     pub zone: String,
     /// Its cell.
     pub cell: u64,
+    /// Its kind, as its source names it: those of one kind are of about one size. May be empty.
+    pub kind: String,
     /// Its weight.
     pub size: f64,
     /// When its process started, Unix time in milliseconds; 0 is long ago.
@@ -454,6 +458,7 @@
                 transport: entry.transport.clone(),
                 zone: entry.zone.clone(),
                 cell: entry.cell,
+                kind: entry.kind.clone(),
                 size: entry.size,
                 since_ms: memory.since_ms,
                 in_service: now >= memory.held_until && !self.views.values().any(drains),
--- a/crates/membership/tests/merge.rs
+++ b/crates/membership/tests/merge.rs
@@ -17,6 +17,7 @@
         transport: Transport::Http1,
         zone: "a".into(),
         cell: 0,
+        kind: String::new(),
         size: 1.0,
         started_ms,
         draining: false,
--- a/crates/node/src/fleet/servers.rs
+++ b/crates/node/src/fleet/servers.rs
@@ -451,6 +451,7 @@
             transport: Default::default(),
             zone: String::new(),
             cell: 0,
+            kind: String::new(),
             state: ServerState::InService,
             size: 1.0,
             up_since_ms,
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -686,6 +686,7 @@
         transport: member.transport.clone(),
         zone: member.zone.clone(),
         cell: member.cell,
+        kind: String::new(),
         size: member.size,
         started_ms: Some(member.since_ms),
         draining: !member.in_service,
--- a/crates/node/src/hosted/ephemeral.rs
+++ b/crates/node/src/hosted/ephemeral.rs
@@ -187,6 +187,7 @@
             transport: Default::default(),
             zone: String::new(),
             cell: 0,
+            kind: String::new(),
             size,
             started_ms: Some(7),
             draining: false,
--- a/crates/node/src/sources/discovery.rs
+++ b/crates/node/src/sources/discovery.rs
@@ -32,6 +32,8 @@
     pub transport: Transport,
     pub zone: String,
     pub cell: u64,
+    /// Its kind, as the list names it; empty where it does not.
+    pub kind: String,
     pub state: ServerState,
     pub size: f64,
     /// Unix time in milliseconds; 0 is long ago.
@@ -75,6 +77,7 @@
         transport: Transport::Http1,
         zone: text("locality").unwrap_or("").to_owned(),
         cell: value.get("cell").and_then(Value::as_u64).unwrap_or(0),
+        kind: text("flavor").unwrap_or("").to_owned(),
         state: server_state(text("phase")?)?,
         size: value.get("size").and_then(Value::as_f64).unwrap_or(1.0),
         up_since_ms: value.get("up_since_ms").and_then(Value::as_u64).unwrap_or(0),
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::time::{timeout_at, Instant};
-use woodgap_decisions::settings::Zones;
+use woodgap_decisions::settings::{kind_of, Zones};
 use woodgap_decisions::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 use woodgap_membership::{Transport, Trust};
 
@@ -106,6 +106,7 @@
                 server,
                 zone: zones.id(&entry.zone),
                 cell: CellId(entry.cell),
+                kind: kind_of(&entry.kind),
                 state: entry.state,
                 size: entry.size,
                 since: entry.up_since_ms.saturating_mul(1000),
@@ -420,8 +421,17 @@
 
     fn list(addr: SocketAddr, state: ServerState, complete: bool) -> List {
         let (id, zone) = ("s-1".into(), "a".into());
-        let entry =
-            Listed { id, addr, transport: Transport::Http1, zone, cell: 0, state, size: 1.0, up_since_ms: 0 };
+        let entry = Listed {
+            id,
+            addr,
+            transport: Transport::Http1,
+            zone,
+            cell: 0,
+            kind: String::new(),
+            state,
+            size: 1.0,
+            up_since_ms: 0,
+        };
         List { revision: None, complete, entries: vec![entry] }
     }
 
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -11,7 +11,7 @@
     TenantId, TimerId,
 };
 
-use woodgap_decisions::settings::{finite, number, server_state, Fault, Names, Zones};
+use woodgap_decisions::settings::{finite, kind_of, number, server_state, Fault, Names, Zones};
 
 /// The parts of a line, taken from the left.
 pub struct Fields<'a> {
@@ -92,7 +92,7 @@
     }
     let server = ServerId(f.number("server")?);
     let zone = zones.id(f.part("campus")?.unwrap_or(""));
-    f.part("kind")?;
+    let kind = kind_of(f.part("kind")?.unwrap_or(""));
     let cell = CellId(f.optional("cluster")?.unwrap_or(0));
     let state = f.text("state")?;
     let state =
@@ -100,7 +100,7 @@
     let size = f.part("size")?.map_or(Ok(1.0), |text| finite(text, "size"))?;
     let since = f.optional("since")?.unwrap_or(0);
     f.end()?;
-    Ok(Member { server, zone, cell, state, size, since })
+    Ok(Member { server, zone, cell, kind, state, size, since })
 }
 
 fn outcome(text: &str) -> Result<Outcome, Fault> {
--- a/crates/zookeeper/src/server.rs
+++ b/crates/zookeeper/src/server.rs
@@ -123,6 +123,7 @@
         transport,
         zone: server.zone,
         cell: server.cell,
+        kind: String::new(),
         size: server.size,
         started_ms: server.started_ms,
         draining: server.phase == Phase::Terminating,
