Fleet time as an interval that surely holds the truth, from agreed anchors

Route versions and bookings need one moment that all nodes mean alike, and a node knew nothing of others' clocks. Fleet time is now the lower median of up to nine clocks that a document names with their offsets, and `clock` makes of Cristian's round trips, aged by drift, an interval at each node: `now`, `when`, `passed`, `Unsure`. It holds while right clocks keep their bound and fewer than a third of the anchors are wrong, even if they tell each node another time. Contradictions are refused; steps, sleeps and a paused machine make all answer once more.

Tried and left: Marzullo's intersection by majority over the anchors. A window of samples: two ends are all of them.

--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::wire;
+use crate::{clock, wire};
 
 /// Milliseconds on a clock that only goes on.
 pub type Millis = u64;
@@ -104,6 +104,8 @@
     Namesake,
     /// This node did not run for so many milliseconds.
     Slept(Millis),
+    /// Something about clocks.
+    Clock(clock::Event),
 }
 
 /// What is to be done.
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //!   receive  a datagram: whether it is taken, its body    suspect  from doubt to death, contradictions
 //!   learn    what it tells of members                     fetch    what telling lost, by sections and pages
 //!   send     news, addresses, what goes out              view     what is asked of it and said to it
+//!   time     clocks: who is asked, who is answered
 //! ```
 
 mod fetch;
@@ -14,6 +15,7 @@
 mod run;
 mod send;
 mod suspect;
+mod time;
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -133,6 +135,7 @@
     catching: Millis,
     actions: VecDeque<Action>,
     counts: Counts,
+    time: Option<Box<time::Time>>,
 }
 
 impl Fleet {
@@ -184,6 +187,7 @@
             catching: 0,
             actions: VecDeque::new(),
             counts: Counts::default(),
+            time: settings.clocks.map(|clocks| Box::new(time::Time::new(me.clone(), clocks))),
         };
         let member = Member {
             facts,
--- a/crates/fleet/src/fleet/receive.rs
+++ b/crates/fleet/src/fleet/receive.rs
@@ -160,6 +160,8 @@
                 self.send(from, &Body::Pull { after: &after, sections });
             }
             Body::Gossip => {}
+            Body::Clock { nonce } => self.stamp(from, nonce),
+            Body::Stamp { nonce, run, at } => self.stamped(from, nonce, run, at),
         }
     }
 }
--- a/crates/fleet/src/fleet/run.rs
+++ b/crates/fleet/src/fleet/run.rs
@@ -15,6 +15,9 @@
         if let Some(probe) = &self.probe {
             at = at.min(probe.ask.unwrap_or(probe.until)).min(probe.until);
         }
+        if let Some(ask) = self.time.as_ref().and_then(|time| time.ask_at) {
+            at = at.min(ask);
+        }
         let relayed = self.relayed.iter().map(|relayed| relayed.until);
         let checks = self.checks.iter().map(|check| check.until);
         let pull = self.pull.iter().map(|pull| pull.again);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //!   datagram ────▶│ wire: key, number ─▶ updates ─▶ members ─▶ queue (bounded │─▶ Action::Send
 //!   time (tick) ─▶│ probe ─ ask helpers ─ doubt ─ suspect ─ dead     tellings)│─▶ Action::Tell(Event)
 //!   own phase ───▶│ own word, one incarnation higher                          │─▶ members(), standing()
+//!   own clock ───▶│ clock: asks anchors, takes their stamps (off by default)  │─▶ clocks(): now, passed, when
 //!                 └──────────────────────────────────────────────────────────┘
 //! ```
 //!
@@ -31,7 +32,11 @@
 //!
 //! **Loss.** What was not heard by telling is fetched: acknowledgements carry a digest of all that a node knows, and who
 //! reads another one than its own asks which of sixteen sections differ and pulls those page by page.
+//!
+//! **Time.** Where [`Settings::clocks`] says so, anchors that a document names are asked for their clocks, and [`clock`] makes
+//! of the answers an interval that surely holds fleet time.
 
+pub mod clock;
 mod facts;
 mod fleet;
 mod settings;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -1,7 +1,7 @@
 //! How soon what is done.
 
 use crate::fleet::MOST_DOUBT;
-use crate::Millis;
+use crate::{clock, Millis};
 
 /// How soon what is done. All times in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,6 +28,8 @@
     pub isolated: Millis,
     /// A dead one is forgotten.
     pub forget: Millis,
+    /// Whether and how fleet time is kept; `None`: nobody is asked and nobody answered.
+    pub clocks: Option<clock::Settings>,
 }
 
 impl Default for Settings {
@@ -44,6 +46,7 @@
             gossip: 100,
             isolated: 2_500,
             forget: 3_600_000,
+            clocks: None,
         }
     }
 }
--- a/crates/fleet/src/simulated.rs
+++ b/crates/fleet/src/simulated.rs
@@ -5,12 +5,40 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::wire::Keys;
+use crate::clock::Micros;
+use crate::wire::{self, Keys};
 use crate::{Action, Event, Facts, Fleet, Life, Millis, Phase, Settings};
 
 /// Whether a datagram from one to another arrives, and a number by chance from 0 up to 1.
 pub type Link = Box<dyn Fn(usize, usize, f64) -> bool>;
 
+/// How long a datagram from one to another takes, given a number by chance from 0 up to 1.
+pub type Delay = Box<dyn Fn(usize, usize, f64) -> Millis>;
+
+/// What a node tells another in place of what its clock shows.
+pub type Lie = Box<dyn Fn(usize, usize, Micros) -> Micros>;
+
+/// A clock in simulated time.
+#[derive(Clone, Copy, Debug)]
+pub struct Hand {
+    /// What it showed at the start.
+    pub start: Micros,
+    /// How much faster than true time it goes, in millionths.
+    pub ppm: i64,
+    /// What it was put on or back since, in microseconds.
+    pub stepped: i64,
+    /// What the wall clock was put on or back, in microseconds.
+    pub wall: i64,
+}
+
+impl Hand {
+    /// What it shows.
+    pub fn at(&self, now: Millis) -> Micros {
+        let passed = i128::from(now) * i128::from(1_000_000 + self.ppm) / 1_000;
+        self.start.saturating_add_signed(passed as i64 + self.stepped)
+    }
+}
+
 /// When it arrives, a number, at whom, and what.
 type Flying = (Millis, u64, usize, Vec<u8>);
 
@@ -25,6 +53,12 @@
     pub stopped: BTreeSet<usize>,
     /// What becomes of datagrams.
     pub link: Link,
+    /// How long they take; 1 to 4 ms where nothing else is said.
+    pub delay: Option<Delay>,
+    /// The clocks, by node; empty where no time is kept.
+    pub hands: Vec<Hand>,
+    /// What is told of them. Only of fleets without keys.
+    pub lie: Option<Lie>,
     random: fastrand::Rng,
     flying: BinaryHeap<Reverse<Flying>>,
     wakes: BinaryHeap<Reverse<(Millis, usize)>>,
@@ -76,6 +110,9 @@
             nodes: Vec::new(),
             stopped: BTreeSet::new(),
             link: Box::new(|_, _, _| true),
+            delay: None,
+            hands: Vec::new(),
+            lie: None,
             random: random.fork(),
             flying: BinaryHeap::new(),
             wakes: BinaryHeap::new(),
@@ -123,14 +160,20 @@
                 if self.stopped.contains(&node) {
                     continue;
                 }
-                self.nodes[node].hear(self.now, &bytes);
+                self.hear(node, &bytes);
                 node
             } else {
                 let Some(Reverse((_, node))) = self.wakes.pop() else { break };
                 if self.stopped.contains(&node) || self.nodes[node].wake() > self.now {
                     continue;
                 }
-                self.nodes[node].tick(self.now);
+                match self.hands.get(node) {
+                    Some(hand) => {
+                        let local = hand.at(self.now);
+                        self.nodes[node].tick_at(self.now, local, local as i64 + hand.wall);
+                    }
+                    None => self.nodes[node].tick(self.now),
+                }
                 node
             };
             self.act(node);
@@ -138,6 +181,16 @@
         self.now = until;
     }
 
+    fn hear(&mut self, node: usize, bytes: &[u8]) {
+        let Some(hand) = self.hands.get(node) else { return self.nodes[node].hear(self.now, bytes) };
+        let mut local = hand.at(self.now);
+        if let (Some(lie), Ok(datagram)) = (&self.lie, wire::open(bytes, &Keys::none())) {
+            let asks = datagram.head.from.trim_start_matches('n').parse();
+            local = asks.map_or(local, |asks| lie(node, asks, local));
+        }
+        self.nodes[node].hear_at(self.now, local, bytes);
+    }
+
     /// Does what one wants done.
     pub fn act(&mut self, node: usize) {
         while let Some(action) = self.nodes[node].act() {
@@ -149,7 +202,10 @@
                     let to = usize::from(high) << 8 | usize::from(low);
                     let chance = self.random.f64();
                     if (self.link)(node, to, chance) {
-                        let at = self.now + self.random.u64(1..5);
+                        let usual = self.random.u64(1..5);
+                        let takes =
+                            self.delay.as_ref().map_or(usual, |delay| delay(node, to, self.random.f64()));
+                        let at = self.now + takes;
                         self.sent += 1;
                         self.flying.push(Reverse((at, self.sent, to, bytes)));
                     }
--- a/crates/fleet/src/wire/form.rs
+++ b/crates/fleet/src/wire/form.rs
@@ -71,6 +71,21 @@
     },
     /// Updates alone.
     Gossip,
+    /// Answer with [`Body::Stamp`]. This and the next go without updates, to anchors only, and only from a node that keeps
+    /// time: a program that does not know them drops them as garbled and loses nothing.
+    Clock {
+        /// Of this question.
+        nonce: u32,
+    },
+    /// The sender's clock.
+    Stamp {
+        /// Of this question.
+        nonce: u32,
+        /// Which run of its clock it is.
+        run: u64,
+        /// Read after the question came, in microseconds.
+        at: u64,
+    },
 }
 
 /// What is told of a node.
--- a/crates/fleet/tests/wire.rs
+++ b/crates/fleet/tests/wire.rs
@@ -40,6 +40,8 @@
         Body::Pull { after: &name, sections },
         Body::Page { last: true },
         Body::Gossip,
+        Body::Clock { nonce },
+        Body::Stamp { nonce, run: u64::MAX, at: u64::MAX },
     ];
     for body in bodies {
         let mut writer = Writer::new(&keys, &head, &body);
--- a/crates/node/src/fleet/members.rs
+++ b/crates/node/src/fleet/members.rs
@@ -285,6 +285,7 @@
         Event::Heard => line("others are heard again".to_owned()),
         Event::Namesake => line("another process has this node's name: end one of them".to_owned()),
         Event::Slept(ms) => line(format!("this node did not run for {ms} ms")),
+        Event::Clock(what) => line(what.to_string()),
         Event::Joined(_) | Event::Changed(_) | Event::Forgotten(_) | Event::Contradicted => {}
     }
 }
