--- a/crates/activation/src/gate.rs
+++ b/crates/activation/src/gate.rs
@@ -42,7 +42,7 @@
 
 /// What the turn that writes has to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Send {
+pub enum May {
     /// Write.
     Go,
     /// Not by this version any more, and nothing was sent: give it in again as a new request.
@@ -104,7 +104,7 @@
     }
 
     /// Whether an attempt may be written; asked in the turn that writes, with the clocks of that turn.
-    pub fn may_send(&self, taken: &Taken, sending: Sending, now: Now) -> Send {
+    pub fn may_send(&self, taken: &Taken, sending: Sending, now: Now) -> May {
         let served = match self.look(now) {
             Serving::By(fence) => fence == taken.fence || (taken.alike != 0 && fence == taken.alike),
             Serving::Between { doubt } => {
@@ -113,12 +113,12 @@
             }
         };
         match sending {
-            _ if served => Send::Go,
-            Sending::First => Send::Retake,
+            _ if served => May::Go,
+            Sending::First => May::Retake,
             Sending::Again { deadline } if self.slept(taken, now.local) || now.local >= deadline => {
-                Send::Never
+                May::Never
             }
-            Sending::Again { .. } => Send::Go,
+            Sending::Again { .. } => May::Go,
         }
     }
 
--- a/crates/activation/src/lib.rs
+++ b/crates/activation/src/lib.rs
@@ -50,7 +50,7 @@
 pub use command::Command;
 pub use disk::Disk;
 pub use event::{Action, Event};
-pub use gate::{Bar, Gate, Send, Sending, Serving, Taken};
+pub use gate::{Bar, Gate, May, Sending, Serving, Taken};
 pub use node::Node;
 pub use refusal::Refusal;
 pub use settings::{Limits, Rules};
--- a/crates/activation/src/node.rs
+++ b/crates/activation/src/node.rs
@@ -47,7 +47,7 @@
     pub(crate) unsure: Option<Micros>,
     pub(crate) turned: Micros,
     pub(crate) woke: Micros,
-    asked: Option<Micros>,
+    pub(crate) asked: Option<Micros>,
     /// The last `Keep` and the last `Kept`.
     keeps: u64,
     pub(crate) kept: u64,
--- a/crates/activation/src/requests.rs
+++ b/crates/activation/src/requests.rs
@@ -111,8 +111,26 @@
         left.unwrap_or(0).max(self.limits.poll)
     }
 
-    /// What stands in the way of a request that is not taken now.
-    pub fn trouble(&self, clock: Clock) -> Trouble {
+    /// Why this node does not answer now by a version that surely is the fleet's, for an operator.
+    pub fn why(&self, now: Now) -> Option<Trouble> {
+        let serves = matches!(self.gate().look(now), Serving::By(_)) && self.foreign.is_none();
+        (!serves).then(|| self.trouble(now.clock))
+    }
+
+    /// After how long time alone changes something here, if nothing else happens: when to give the next `Tick`. A poll at most;
+    /// around a moment the time to it, and then as often as the interval could have narrowed.
+    pub fn due(&self, now: Now) -> Micros {
+        let poll = self.asked.map_or(0, |at| at.saturating_add(self.limits.poll).saturating_sub(now.local));
+        let held = self
+            .gap
+            .filter(|_| !self.held.is_empty())
+            .map_or(poll, |since| since.saturating_add(self.limits.hold_for).saturating_sub(now.local));
+        let moment = self.next.as_ref().zip(now.clock.within(self.widest()));
+        let moment = moment.map_or(poll, |(next, (earliest, _))| next.moment.saturating_sub(earliest));
+        poll.min(held).min(moment)
+    }
+
+    fn trouble(&self, clock: Clock) -> Trouble {
         if let Some(format) = self.foreign {
             return Trouble::Format(format);
         }
--- a/crates/activation/src/settings.rs
+++ b/crates/activation/src/settings.rs
@@ -79,3 +79,30 @@
         }
     }
 }
+
+impl Limits {
+    /// # Errors
+    /// Which bound would refuse requests at each switch, and what to give.
+    pub fn check(&self, rules: &Rules) -> Result<(), Refusal> {
+        let wrong = |text: &str| Err(Refusal::Bound(text.into()));
+        if self.poll == 0 || self.poll > rules.lead / 8 {
+            return wrong("poll is 0 or over an eighth of lead: this node would be in doubt while others are not; give less");
+        }
+        if self.hold_for < rules.widest.saturating_mul(2) {
+            return wrong(
+                "hold_for is under twice widest: requests would be refused at each switch; give more",
+            );
+        }
+        if self.longest_turn == 0 || self.alone < self.longest_turn {
+            return wrong(
+                "longest_turn is 0 or over alone: each turn would count as a sleep; give 50 ms or more",
+            );
+        }
+        if self.most_held == 0 || self.most_built < 3 {
+            return wrong(
+                "most_held is 0 or most_built under 3: the served, the next and the last one; give more",
+            );
+        }
+        Ok(())
+    }
+}
--- a/crates/activation/src/take.rs
+++ b/crates/activation/src/take.rs
@@ -22,6 +22,23 @@
         Ok(next)
     }
 
+    /// Several in one write, in their order: the words that one node heard of others, and its decision. A word binds its node from
+    /// before it is said, so who carries it to the board, how late and how often does not matter.
+    pub fn take_all(&self, commands: Vec<Command>, clock: Clock) -> (Board, Vec<Refusal>) {
+        let (mut next, mut refused) = (self.clone(), Vec::new());
+        for command in commands {
+            let mut tried = next.clone();
+            match tried.change(command, clock) {
+                Ok(()) => next = tried,
+                Err(refusal) => refused.push(refusal),
+            }
+        }
+        if next != *self {
+            next.revision += 1;
+        }
+        (next, refused)
+    }
+
     fn change(&mut self, command: Command, clock: Clock) -> Result<(), Refusal> {
         match command {
             Command::Join { node, seat } => self.join(node, seat),
