--- /dev/null
+++ b/crates/activation/tests/node.rs
@@ -0,0 +1,349 @@
+//! One node at its hard moments, each with the failure that it guards against.
+
+use woodgap_activation::*;
+
+const T: Micros = 10_000_000;
+/// Half of a clock's interval.
+const W: Micros = 1_000;
+
+fn now(t: Micros) -> Now {
+    Now { local: t, clock: Clock::Sure { earliest: t - W, latest: t + W } }
+}
+
+fn version(number: u64) -> Version {
+    Version { number, digest: format!("d{number}"), format: FORMAT }
+}
+
+fn parts(number: u64) -> Parts {
+    let part = |digest: String, doubt| Part { digest, doubt };
+    let (same, strict, lax) = (part("s".into(), Doubt::Refuse), format!("a{number}"), format!("b{number}"));
+    let strict = ("strict".into(), part(strict, Doubt::Refuse));
+    Parts::from([("same".into(), same), strict, ("lax".into(), part(lax, Doubt::Old))])
+}
+
+fn moved(id: u64, old: &str, new: &str) -> Event {
+    Event::RequestIn { id, belongs: Belongs { old: Some(old.into()), new: Some(new.into()) } }
+}
+
+fn ask(id: u64, part: &str) -> Event {
+    moved(id, part, part)
+}
+
+/// A node, its disk, and the board to which its writes go at once.
+struct Rig {
+    node: Node,
+    board: Board,
+    disk: Option<Disk>,
+    /// What was asked for and is not done by the rig.
+    out: Vec<Action>,
+    fetches: bool,
+}
+
+impl Rig {
+    fn start(board: Board, disk: Option<Disk>, t: Micros, limits: Limits, format: u32) -> Rig {
+        let (node, actions) = Node::of_format(format, "n1", limits, disk.clone(), t, now(t));
+        let mut rig = Rig { node, board, disk, out: Vec::new(), fetches: true };
+        rig.carry(actions, now(t));
+        rig
+    }
+
+    /// Seated, serving version 1.
+    fn new() -> Rig {
+        let mut rig =
+            Rig::start(Board::new(Rules::default()).unwrap(), None, T - 9_000_000, Limits::default(), FORMAT);
+        rig.reads(T - 9_000_000);
+        rig.opens(1, T - 9_000_000);
+        rig.reads(T - 9_000_000);
+        rig.reads(T - 9_000_000);
+        rig.at(Event::Heard(T), T);
+        assert_eq!(rig.node.gate().look(now(T)), Serving::By(1));
+        rig
+    }
+
+    fn on(&mut self, event: Event, now: Now) -> Vec<Action> {
+        self.out.clear();
+        let actions = self.node.on(event, now);
+        self.carry(actions, now);
+        self.out.clone()
+    }
+
+    fn at(&mut self, event: Event, t: Micros) -> Vec<Action> {
+        self.on(event, now(t))
+    }
+
+    fn carry(&mut self, actions: Vec<Action>, now: Now) {
+        for action in actions {
+            match action {
+                Action::Keep(seq, disk) => {
+                    self.disk = Some(*disk);
+                    let more = self.node.on(Event::Kept(seq), now);
+                    self.carry(more, now);
+                }
+                Action::Fetch(version) if self.fetches => {
+                    let (digest, parts) = (version.digest.clone(), parts(version.number));
+                    let more = self.node.on(Event::Fetched { version, digest, parts }, now);
+                    self.carry(more, now);
+                }
+                Action::Write(command) => {
+                    if let Ok(next) = self.board.take(command.clone(), now.clock) {
+                        self.board = next;
+                    }
+                    self.out.push(Action::Write(command));
+                }
+                Action::Read => {}
+                other => self.out.push(other),
+            }
+        }
+    }
+
+    /// Reads the board until there is nothing more to write.
+    fn reads(&mut self, t: Micros) {
+        for _ in 0..4 {
+            self.at(Event::BoardRead(self.board.clone()), t);
+        }
+    }
+
+    fn opens(&mut self, number: u64, t: Micros) {
+        let author = if number == 1 { "n1" } else { "operator" };
+        let open = Command::Open { author: author.into(), version: version(number) };
+        self.board = self.board.take(open, now(t).clock).unwrap();
+    }
+
+    /// Version 2 prepared here, and the board as it was then; decided without this node's knowing.
+    fn prepared(t: Micros) -> (Rig, Micros) {
+        let mut rig = Rig::new();
+        rig.opens(2, t);
+        rig.reads(t);
+        let floor = rig.board.attempt.as_ref().unwrap().floor;
+        rig.board = rig.board.take(Command::Decide(2), now(t).clock).unwrap();
+        (rig, floor)
+    }
+}
+
+fn refused(actions: &[Action]) -> Option<&Trouble> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse(_, why, _) => Some(why),
+        _ => None,
+    })
+}
+
+fn taken(actions: &[Action]) -> Option<Taken> {
+    actions.iter().find_map(|action| match action {
+        Action::Take(_, taken) => Some(*taken),
+        _ => None,
+    })
+}
+
+#[test]
+fn at_the_moment_requests_wait_and_are_taken_by_the_new() {
+    let (mut rig, moment) = Rig::prepared(T);
+    rig.reads(T);
+    let before = rig.at(ask(1, "strict"), moment - W - 1);
+    assert_eq!(taken(&before).map(|taken| taken.fence), Some(1));
+    // It may be the moment: no old answer, and no new one.
+    assert_eq!(rig.at(ask(2, "strict"), moment - W), [Action::Hold(2)]);
+    let same = taken(&rig.at(ask(3, "same"), moment)).unwrap();
+    assert_eq!((same.fence, same.alike), (1, 2));
+    // A host that moves from one tenant to another is not alike, whatever each of them is.
+    assert_eq!(rig.at(moved(4, "same", "lax"), moment), [Action::Hold(4)]);
+    assert_eq!(rig.at(Event::RequestLeft(4), moment), []);
+    // It surely is: the one that waited is taken by the new.
+    let after = rig.at(Event::Tick, moment + W);
+    assert!(matches!(after[0], Action::Switch(_)), "{after:?}");
+    assert_eq!(taken(&after).map(|taken| taken.fence), Some(2));
+    assert_eq!(rig.node.gate().may_send(&same, Sending::First, now(moment + W)), May::Go);
+    // The old version's tables stay until its last request is over.
+    assert!(!after.iter().any(|action| matches!(action, Action::Drop(_))));
+    rig.at(Event::RequestOver(same), moment + W);
+    let last = rig.at(Event::RequestOver(taken(&before).unwrap()), moment + W);
+    assert_eq!(last, [Action::Drop(version(1))]);
+}
+
+#[test]
+fn what_waits_is_bounded_in_number_and_time() {
+    let limits = Limits { most_held: 2, ..Limits::default() };
+    let (mut rig, moment) = Rig::prepared(T);
+    rig.reads(T);
+    let mut rig = Rig { node: Rig::start(rig.board, rig.disk, T, limits, FORMAT).node, ..Rig::new() };
+    rig.at(Event::Kept(1), T);
+    let unsure = |t| Now { local: t, clock: Clock::Unsure };
+    assert_eq!(rig.on(ask(1, "strict"), unsure(moment)), [Action::Hold(1)]);
+    assert_eq!(rig.on(ask(2, "strict"), unsure(moment)), [Action::Hold(2)]);
+    assert!(refused(&rig.on(ask(3, "strict"), unsure(moment))).is_some());
+    let late = rig.on(Event::Tick, unsure(moment + Limits::default().hold_for));
+    assert_eq!(late.iter().filter(|action| matches!(action, Action::Refuse(..))).count(), 2);
+    assert!(refused(&rig.on(ask(4, "strict"), unsure(moment + 200_000))).is_some(), "not held any more");
+}
+
+#[test]
+fn a_clock_that_cant_tell_refuses_in_place_of_guessing() {
+    let (mut rig, moment) = Rig::prepared(T);
+    rig.reads(T);
+    let wide = |t| Now { local: t, clock: Clock::Sure { earliest: t - 50_000, latest: t + 50_000 } };
+    // Long before and long after: which of the two is what it can't tell.
+    for t in [T, moment + 60_000_000] {
+        assert!(!matches!(rig.node.gate().look(wide(t)), Serving::By(_)), "{t}");
+        assert!(matches!(rig.node.why(wide(t)), Some(Trouble::Clock { number: 2, .. })));
+    }
+    // And no word is said by it; after a while it says why it can't.
+    let mut rig = Rig::new();
+    rig.opens(2, T);
+    rig.on(Event::BoardRead(rig.board.clone()), wide(T));
+    assert!(rig.board.attempt.as_ref().unwrap().ready.is_empty());
+    rig.on(Event::Heard(T + 2_000_000), wide(T + 2_000_000));
+    rig.on(Event::BoardRead(rig.board.clone()), wide(T + 2_000_000));
+    assert!(rig.board.kept[0].why.contains("clock"), "{:?}", rig.board.kept);
+}
+
+#[test]
+fn in_doubt_each_part_goes_by_its_document() {
+    let (mut rig, floor) = Rig::prepared(T);
+    assert!(matches!(rig.node.gate().look(now(floor - W - 1)), Serving::By(1)));
+    let t = floor + 5_000_000;
+    assert_eq!(rig.at(ask(1, "strict"), t), [Action::Hold(1)]);
+    let waited = rig.at(Event::Tick, t + 100_000);
+    assert!(matches!(refused(&waited), Some(Trouble::Doubt { fence: 2, .. })), "{waited:?}");
+    assert!(refused(&rig.at(ask(2, "strict"), t + 100_001)).is_some());
+    assert_eq!(taken(&rig.at(ask(3, "same"), t)).map(|taken| (taken.fence, taken.alike)), Some((1, 2)));
+    let lax = taken(&rig.at(ask(4, "lax"), t)).unwrap();
+    assert!(lax.choice && rig.node.gate().may_send(&lax, Sending::First, now(t)) == May::Go);
+    // An older copy of the board, from before the attempt, ends no doubt.
+    let old = Board { revision: 3, fence: 1, attempt: None, ..rig.board.clone() };
+    rig.at(Event::BoardRead(old), t);
+    assert_eq!(rig.node.gate().look(now(t)), Serving::Between { doubt: true });
+    // What was chosen in doubt and not sent yet is taken anew once there is none.
+    rig.reads(t);
+    assert_eq!(rig.node.gate().look(now(t)), Serving::By(2));
+    assert_eq!(rig.node.gate().may_send(&lax, Sending::First, now(t)), May::Retake);
+}
+
+#[test]
+fn a_sleeper_sends_nothing_by_the_old_version() {
+    let (mut rig, moment) = Rig::prepared(T);
+    rig.reads(T);
+    let old = taken(&rig.at(ask(1, "strict"), moment - 10_000)).unwrap();
+    let (gate, again) = (rig.node.gate(), Sending::Again { deadline: moment + 900_000 });
+    // The first turn since, by the numbers from before the sleep.
+    let woken = now(moment + 400_000);
+    assert_eq!(gate.may_send(&old, Sending::First, woken), May::Retake);
+    assert_eq!(gate.may_send(&old, again, woken), May::Never);
+    rig.at(Event::Tick, moment + 400_000);
+    assert_eq!(rig.node.gate().may_send(&old, again, woken), May::Never);
+    // One that did not sleep finishes what it began, until the deadline.
+    assert_eq!(gate.may_send(&old, again, now(moment + 100_000)), May::Go);
+    let short = Sending::Again { deadline: moment + 100_000 };
+    assert_eq!(gate.may_send(&old, short, now(moment + 100_000)), May::Never);
+}
+
+#[test]
+fn who_was_alone_for_so_long_that_its_end_may_be_proven_takes_its_seat_anew() {
+    let mut rig = Rig::new();
+    let (gate, alone, entry) = (rig.node.gate(), Limits::default().alone, rig.board.roster["n1"].entry);
+    assert_eq!(gate.look(now(T + alone)), Serving::By(1));
+    assert_eq!(gate.look(now(T + alone + 1)), Serving::Between { doubt: true });
+    let t = T + alone + 1;
+    // The board as it was still has its seat; it counts no more.
+    rig.at(Event::Heard(t), t);
+    rig.at(Event::BoardRead(rig.board.clone()), t);
+    assert_ne!(rig.board.roster["n1"].entry, entry);
+    assert_eq!(rig.node.gate().look(now(t)), Serving::Between { doubt: true });
+    rig.reads(t);
+    assert_eq!(rig.node.gate().look(now(t)), Serving::By(1));
+}
+
+#[test]
+fn a_restart_answers_nothing_before_its_seat_and_then_by_what_is_decided() {
+    let (rig, moment) = Rig::prepared(T);
+    // Killed after its word; the decision was made without its next process.
+    let mut back = Rig::start(rig.board.clone(), rig.disk.clone(), T + 500_000, Limits::default(), FORMAT);
+    assert_eq!(back.node.gate().look(now(T + 500_000)), Serving::Between { doubt: true });
+    back.reads(T + 500_000);
+    assert_eq!(back.node.gate().look(now(T + 500_000)), Serving::By(1));
+    assert_eq!(back.node.gate().look(now(moment + W)), Serving::By(2));
+    // Of a decision that it read, the disk knows, whoever can be reached.
+    let again = Rig::start(back.board.clone(), back.disk.clone(), moment + W, Limits::default(), FORMAT);
+    assert_eq!(again.node.decisions().0.map(|served| served.fence), Some(2));
+    // One that has nothing waits for the moment, and serves nothing that is older.
+    let mut board = back.board.clone();
+    board.roster.clear();
+    let mut joiner = Rig::start(board, None, T, Limits::default(), FORMAT);
+    joiner.reads(T);
+    assert_eq!(joiner.node.gate().look(now(moment - W - 1)), Serving::Between { doubt: false });
+    assert_eq!(joiner.node.gate().look(now(moment + W)), Serving::By(2));
+}
+
+#[test]
+fn one_that_missed_a_whole_version_does_not_serve_the_one_before_it() {
+    let (rig, moment) = Rig::prepared(T);
+    let mut board = rig.board.clone();
+    let third = Command::Open { author: "operator".into(), version: version(3) };
+    board.roster.get_mut("n1").unwrap().gone = Some("dead".into());
+    board.roster.insert("n2".into(), Seat { life: 2, entry: 2, format: FORMAT, gone: None });
+    board.rules.most_missing_percent = 50;
+    let word = Command::Say { node: "n2".into(), entry: 2, fence: 3, word: Word::Ready("d3".into()) };
+    let (board, none) = board.take_all(vec![third, word, Command::Decide(3)], now(moment + W).clock);
+    assert_eq!(none, []);
+    let mut back = Rig::start(board, rig.disk.clone(), moment + W, Limits::default(), FORMAT);
+    back.reads(moment + W);
+    assert_eq!(back.node.gate().look(now(moment + W)), Serving::Between { doubt: false });
+}
+
+#[test]
+fn an_older_program_says_so_and_a_newer_board_is_left_alone() {
+    let mut rig = Rig::start(Board::new(Rules::default()).unwrap(), None, T, Limits::default(), 0);
+    rig.reads(T);
+    rig.opens(1, T);
+    rig.reads(T);
+    assert!(rig.board.kept[0].why.contains("format 1, this program reads 0"), "{:?}", rig.board.kept);
+    let mut rig = Rig::new();
+    let newer = Board { format: FORMAT + 1, ..rig.board.clone() };
+    let actions = rig.at(Event::BoardRead(newer), T);
+    assert!(!actions.iter().any(|action| matches!(action, Action::Write(_))));
+    assert_eq!(rig.node.gate().look(now(T)), Serving::By(1));
+    assert_eq!(rig.node.why(now(T)), Some(Trouble::Format(FORMAT + 1)));
+}
+
+#[test]
+fn a_whole_that_cant_be_had_or_is_another_ends_the_attempt() {
+    let wrong = Event::Fetched { version: version(2), digest: "x".into(), parts: parts(2) };
+    let failed = Event::Failed { version: version(2), why: "disk full".into() };
+    for (event, why) in [(wrong, "built x of what should be d2"), (failed, "disk full")] {
+        let mut rig = Rig::new();
+        rig.fetches = false;
+        rig.opens(2, T);
+        rig.at(Event::BoardRead(rig.board.clone()), T);
+        assert!(rig.board.attempt.as_ref().unwrap().ready.is_empty(), "a word before there is a whole");
+        rig.at(event, T);
+        assert!(rig.board.kept[0].why.contains(why), "{:?}", rig.board.kept);
+    }
+}
+
+#[test]
+fn who_is_not_its_author_drives_it_once_it_is_late() {
+    let mut rig = Rig::new();
+    rig.opens(2, T);
+    let other = Seat { life: 2, entry: 2, format: FORMAT, gone: None };
+    rig.board.roster.insert("n2".into(), other);
+    rig.reads(T);
+    let floor = rig.board.attempt.as_ref().unwrap().floor;
+    assert_eq!(floor, T + W + 2_000_000);
+    rig.reads(T + 1_200_000);
+    assert_eq!(rig.board.attempt.as_ref().unwrap().floor, T + W + 3_200_000, "put off, n2 is not ready");
+    rig.at(Event::Heard(T + 20_000_000), T + 20_000_000);
+    rig.reads(T + 31_000_000);
+    assert!(
+        rig.board.attempt.is_none() && rig.board.kept[0].why.contains("not ready: n2"),
+        "{:?}",
+        rig.board
+    );
+}
+
+#[test]
+fn a_dropped_server_keeps_its_500_ms_from_the_switch() {
+    let bar = Bar { fence: 2, moment: T, drain: 500_000 };
+    let by = |fence| Taken { fence, alike: 0, choice: false, at: T };
+    assert!(bar.barred(&by(2), now(T + W).clock, 50_000), "not by the new version");
+    assert!(!bar.barred(&by(1), now(T + 499_000 - 1).clock, 50_000));
+    assert!(bar.barred(&by(1), now(T + 499_000).clock, 50_000), "it may be the end");
+    assert!(bar.barred(&by(1), Clock::Unsure, 50_000));
+}
