--- a/crates/activation/src/event.rs
+++ b/crates/activation/src/event.rs
@@ -33,6 +33,8 @@
     /// When the service or more than half of the roster was last heard, by the node's own count: as `permits` has it,
     /// whose proof of an end rests on a node's sending nothing once it was alone for long enough.
     Heard(Micros),
+    /// Another node's word, as `Tell` had it; anything else is not listened to.
+    Told(Command),
     /// The process ends: it takes nothing more, and has itself written as gone, so that no attempt waits for it.
     Leave,
     /// A request that the gate's look alone does not take.
@@ -59,8 +61,10 @@
     Fetch(Version),
     /// Keep this on disk and say `Kept`.
     Keep(u64, Box<Disk>),
-    /// Take the command over the board as it stands, write it conditionally, and read the board again.
-    Write(Command),
+    /// Take these over the board as it stands ([`Board::take_all`]), write it conditionally, and read the board again.
+    Write(Vec<Command>),
+    /// Tell it to all of the fleet, by datagram: late, lost or doubled, it does no harm.
+    Tell(Command),
     /// From now on this is served.
     Switch(Decision),
     /// Answer a request so.
--- a/crates/activation/src/follow.rs
+++ b/crates/activation/src/follow.rs
@@ -1,6 +1,6 @@
-//! What a node does by the board that it read: takes its seat, learns decisions, prepares, and drives what is due.
+//! What a node does by the board that it read: takes its seat, learns decisions, and fetches.
 
-use crate::board::{Board, Seat, Word};
+use crate::board::{Board, Seat};
 use crate::clock::{Micros, Now};
 use crate::event::Action;
 use crate::node::{mixed, Node};
@@ -28,6 +28,8 @@
         self.learn(&board, out);
         self.failed
             .retain(|version, _| board.attempt.as_ref().is_some_and(|attempt| attempt.version == *version));
+        let fence = board.attempt.as_ref().map(|attempt| attempt.fence);
+        self.told.retain(|_, word| matches!(word, Command::Say { fence: of, .. } if Some(*of) == fence));
         self.board = Some(board);
         self.seat(out);
         self.settle(now, out);
@@ -77,7 +79,7 @@
         }
         if !self.seated && !self.taken && self.kept > 0 {
             let seat = Seat { life: self.life, entry: self.entry, format: self.format, gone: None };
-            out.push(Action::Write(Command::Join { node: self.name.clone(), seat }));
+            out.push(Action::Write(vec![Command::Join { node: self.name.clone(), seat }]));
         }
     }
 
@@ -86,77 +88,10 @@
         let held = self.board.as_ref().and_then(|board| board.roster.get(&self.name));
         if held.is_some_and(|held| held.entry == self.entry && held.gone.is_none()) {
             let (node, entry, proof) = (self.name.clone(), self.entry, "it left".to_owned());
-            out.push(Action::Write(Command::Gone { node, entry, proof }));
+            out.push(Action::Write(vec![Command::Gone { node, entry, proof }]));
         }
     }
 
-    /// Says its word, and is bound by it from here on, whether or not it is ever written.
-    pub(crate) fn say(&mut self, now: Now, out: &mut Vec<Action>) {
-        let Some((board, attempt)) = self.board.as_ref().and_then(|b| Some((b, b.attempt.as_ref()?))) else {
-            return;
-        };
-        let fence = attempt.fence;
-        // Who has not settled what is served has no tables to go on by, and prepares nothing further.
-        let settled = self.next.is_none()
-            && board.decided.as_ref().map(|d| d.fence) == self.served.as_ref().map(|s| s.fence);
-        let said = attempt.ready.get(&self.name) == Some(&self.entry);
-        if !self.seated || said || !settled {
-            return;
-        }
-        let word = match self.built.get(&attempt.version) {
-            _ if attempt.version.format > self.format => {
-                let needs = attempt.version.format;
-                Some(Word::Cannot(format!("format {needs}, this program reads {}: renew it", self.format)))
-            }
-            _ if self.failed.contains_key(&attempt.version) => {
-                Some(Word::Cannot(self.failed[&attempt.version].clone()))
-            }
-            // For a while, as at a start: then an operator has to look.
-            Some(_) if self.unsure.is_some() => {
-                let since = now.local.saturating_sub(self.unsure.unwrap_or(now.local));
-                let widest = board.rules.widest;
-                (since >= board.rules.lead)
-                    .then(|| Word::Cannot(format!("its clock is not known to within {widest} us")))
-            }
-            Some(_) => Some(Word::Ready(attempt.version.digest.clone())),
-            None => None,
-        };
-        let Some(word) = word else { return };
-        let promised = self.promise.as_ref().is_some_and(|promise| promise.fence == fence);
-        if matches!(word, Word::Ready(_)) && !promised {
-            let (version, floor) = (attempt.version.clone(), attempt.floor);
-            self.promise = Some(Promise { fence, version, floor });
-        }
-        let (node, entry) = (self.name.clone(), self.entry);
-        out.push(Action::Write(Command::Say { node, entry, fence, word }));
-    }
-
-    /// What is due at the open attempt: its author at once, the others by their place once it is late.
-    fn drive(&mut self, now: Now, out: &mut Vec<Action>) {
-        let Some((board, attempt)) = self.board.as_ref().and_then(|b| Some((b, b.attempt.as_ref()?))) else {
-            return;
-        };
-        let Some((earliest, latest)) = now.clock.within(board.rules.widest).filter(|_| self.seated) else {
-            return;
-        };
-        let (lead, fence, author) = (board.rules.lead, attempt.fence, attempt.author == self.name);
-        let rank =
-            if author { 0 } else { 1 + board.roster.keys().take_while(|name| **name != self.name).count() };
-        let late = lead / 2 - lead / 32 * (rank.min(8) as Micros);
-        let low = attempt.floor.saturating_sub(latest) < late;
-        let by = self.name.clone();
-        let command = match () {
-            // Once its time is over, whoever comes first.
-            _ if !author && !low && earliest < attempt.until => return,
-            _ if board.missing().is_err() || earliest >= attempt.until => Command::End { by, fence },
-            _ if latest >= attempt.until => return,
-            _ if board.waited_for().is_empty() => Command::Decide(fence),
-            _ if low => Command::Extend(fence),
-            _ => return,
-        };
-        out.push(Action::Write(command));
-    }
-
     /// Fetches what is needed and frees what is not.
     pub(crate) fn tables(&mut self, out: &mut Vec<Action>) {
         let open = &self.open;
--- a/crates/activation/src/lib.rs
+++ b/crates/activation/src/lib.rs
@@ -44,6 +44,7 @@
 mod take;
 mod trouble;
 mod version;
+mod word;
 
 pub use board::{Attempt, Board, Decision, Kept, Seat, Word, MOST_KEPT, MOST_SEATS};
 pub use clock::{Clock, Micros, Now};
--- a/crates/activation/src/node.rs
+++ b/crates/activation/src/node.rs
@@ -8,7 +8,7 @@
 use crate::event::{Action, Event};
 use crate::follow::Promise;
 use crate::version::{Belongs, Parts, Version, FORMAT, MOST_PARTS};
-use crate::{Limits, Rules};
+use crate::{Command, Limits, Rules};
 
 /// A node's part in it all: events in, actions out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -45,6 +45,10 @@
     pub(crate) held: VecDeque<(u64, Belongs)>,
     /// Since when requests wait.
     pub(crate) gap: Option<Micros>,
+    /// Words of others, for the attempt that is open.
+    pub(crate) told: BTreeMap<String, Command>,
+    /// Since when its own word for an attempt is not on the board.
+    pub(crate) unsaid: Option<(u64, Micros)>,
     /// Since when the clock can't tell.
     pub(crate) unsure: Option<Micros>,
     pub(crate) turned: Micros,
@@ -95,6 +99,8 @@
             past: BTreeMap::new(),
             held: VecDeque::new(),
             gap: None,
+            told: BTreeMap::new(),
+            unsaid: None,
             unsure: None,
             turned: now.local,
             woke: now.local,
@@ -153,6 +159,7 @@
                     (self.alone, self.entry) = (false, mixed(self.entry));
                 }
             }
+            Event::Told(word) => self.hear(word),
             Event::Leave => {
                 (self.left, self.seated) = (true, false);
                 self.leave(&mut out);
--- a/crates/activation/src/take.rs
+++ b/crates/activation/src/take.rs
@@ -27,11 +27,7 @@
     pub fn take_all(&self, commands: Vec<Command>, clock: Clock) -> (Board, Vec<Refusal>) {
         let (mut next, mut refused) = (self.clone(), Vec::new());
         for command in commands {
-            let mut tried = next.clone();
-            match tried.change(command, clock) {
-                Ok(()) => next = tried,
-                Err(refusal) => refused.push(refusal),
-            }
+            refused.extend(next.change(command, clock).err());
         }
         if next != *self {
             next.revision += 1;
@@ -39,6 +35,7 @@
         (next, refused)
     }
 
+    /// Looks before it changes anything: what is refused leaves the board as it was.
     fn change(&mut self, command: Command, clock: Clock) -> Result<(), Refusal> {
         match command {
             Command::Join { node, seat } => self.join(node, seat),
@@ -88,9 +85,9 @@
                 Ok(())
             }
             Command::Withdraw { fence, why } => {
-                let number = self.at(fence)?.version.number;
+                let (number, why) = (self.at(fence)?.version.number, bounded(why)?);
                 self.least = self.least.max(number);
-                self.end(format!("withdrawn: {}", bounded(why)?));
+                self.end(format!("withdrawn: {why}"));
                 Ok(())
             }
             Command::Rules(rules) => {
--- a/crates/activation/tests/node.rs
+++ b/crates/activation/tests/node.rs
@@ -232,3 +232,33 @@
     assert!(rig.board.roster["n1"].gone.is_some(), "it does not come back by itself");
     assert_eq!(rig.node.gate().look(now(T)), Serving::Between { doubt: true });
 }
+
+#[test]
+fn words_that_were_told_go_with_the_decision_in_one_write() {
+    let mut rig = Rig::new();
+    let other = Seat { life: 2, entry: 2, format: FORMAT, gone: None };
+    rig.board.roster.insert("n2".into(), other);
+    let open = Command::Open { author: "n1".into(), version: version(2) };
+    rig.board = rig.board.take(open, now(T).clock).unwrap();
+    rig.heard = false;
+    rig.at(Event::BoardRead(rig.board.clone()), T);
+    let word = |entry| Command::Say { node: "n2".into(), entry, fence: 2, word: Word::Ready("d2".into()) };
+    // Of an earlier process of that name, it says nothing about this one.
+    rig.at(Event::Told(word(1)), T);
+    rig.reads(T);
+    assert!(rig.board.decided.as_ref().unwrap().fence == 1, "{:?}", rig.board);
+    rig.at(Event::Told(word(2)), T);
+    rig.at(Event::BoardRead(rig.board.clone()), T);
+    assert_eq!(rig.board.decided.as_ref().unwrap().fence, 2);
+}
+
+#[test]
+fn a_word_that_nobody_heard_is_written_by_its_node() {
+    let mut rig = Rig::new();
+    rig.heard = false;
+    rig.opens(2, T);
+    rig.reads(T);
+    assert!(rig.board.attempt.as_ref().unwrap().ready.is_empty());
+    rig.reads(T + 500_000);
+    assert!(rig.board.attempt.as_ref().unwrap().ready.contains_key("n1"));
+}
