--- a/crates/activation/src/gate.rs
+++ b/crates/activation/src/gate.rs
@@ -1,6 +1,8 @@
 //! The look at numbers by which a request is taken and by which each of its attempts is sent.
 
+use crate::board::Decision;
 use crate::clock::{Clock, Micros, Now};
+use crate::Limits;
 
 /// By what requests are answered at a moment. Versions go by their decisions' fences.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -144,6 +146,11 @@
 }
 
 impl Bar {
+    /// Of the servers that a switch drops.
+    pub fn of(decision: &Decision, limits: &Limits) -> Bar {
+        Bar { fence: decision.fence, moment: decision.moment, drain: limits.drain }
+    }
+
     /// Whether such a server is barred to an attempt of a request. By the new version at once; by the old one, for the
     /// attempts of requests that were under way, from the earliest that `moment + drain` may be. Who can't tell the time
     /// sends nothing there.
--- a/crates/activation/tests/node.rs
+++ b/crates/activation/tests/node.rs
@@ -215,7 +215,8 @@
 
 #[test]
 fn a_dropped_server_keeps_its_500_ms_from_the_switch() {
-    let bar = Bar { fence: 2, moment: T, drain: 500_000 };
+    let decision = Decision { fence: 2, version: version(2), moment: T, after: 1 };
+    let bar = Bar::of(&decision, &Limits::default());
     let by = |fence| Taken { fence, alike: 0, choice: false, at: T };
     assert!(bar.barred(&by(2), now(T + W).clock, 50_000), "not by the new version");
     assert!(!bar.barred(&by(1), now(T + 499_000 - 1).clock, 50_000));
