--- a/crates/activation/tests/world/net.rs
+++ b/crates/activation/tests/world/net.rs
@@ -60,7 +60,8 @@
                 }
                 Action::Fetch(version) => {
                     let (digest, parts) = (version.digest.clone(), parts(version.number));
-                    self.give(at, Event::Fetched { version, digest, parts });
+                    let fetched = Event::Fetched { version, digest, parts };
+                    self.send(20 * soon, at, Way::Hear(fetched, None));
                 }
                 Action::Tell(word) => {
                     for to in 0..NODES {
