--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -17,7 +17,7 @@
 use woodgap_decisions::{ClassId, TenantId};
 use woodgap_tenancy::Uid;
 
-use super::conn::{Conn, Peer};
+use super::conn::{Conn, Peer, SLOW};
 use super::request::{drop_hop_headers, Fault, Head};
 use super::{Directory, Turned};
 use crate::meter::Meter;
@@ -37,6 +37,9 @@
 pub const MARGIN: Duration = Duration::from_millis(12);
 /// After SIGTERM new connections and requests still come for up to 0.4 s.
 const DRAIN: Duration = Duration::from_millis(600);
+/// A request that is on its way when idle connections are closed, or the first of a connection, still gets this long
+/// to come: its client knows of no other connection to send it on again.
+const LAST_WORD: Duration = Duration::from_millis(250);
 /// A connection past the budget gets this long to hear that it is refused, and one that comes while
 /// the node closes to send its request.
 pub(super) const REFUSAL: Duration = Duration::from_secs(1);
@@ -66,6 +69,8 @@
     pub(super) draining: Cell<bool>,
     /// Set once idle connections are to go as well.
     pub(super) closing: Cell<bool>,
+    /// Set with SIGTERM: all that comes has its answer by then, as SIGKILL may follow.
+    ends: Cell<Option<Instant>>,
     /// Told whenever a connection ends.
     pub(super) ended: Notify,
 }
@@ -89,6 +94,7 @@
             conns: RefCell::default(),
             draining: Cell::new(false),
             closing: Cell::new(false),
+            ends: Cell::new(None),
             ended: Notify::new(),
         });
         spawn_local(clients.clone().look_over());
@@ -143,19 +149,33 @@
     /// After SIGTERM: serves on while clients still come, then closes what is idle and returns
     /// once nothing is held.
     pub async fn drain(&self) {
+        let longest = self.directory.longest();
         self.draining.set(true);
+        self.ends.set(Some(Instant::now() + longest + DRAIN));
         sleep(DRAIN).await;
         self.closing.set(true);
-        self.conns.borrow().values().for_each(|conn| conn.shut(false));
+        self.close_idle(SLOW);
+        let late = async {
+            sleep(LAST_WORD).await;
+            self.close_idle(LAST_WORD);
+            std::future::pending().await
+        };
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
-        let longest = self.directory.longest();
         let all_ended = async {
             while !self.conns.borrow().is_empty() {
                 self.ended.notified().await;
             }
         };
-        let _ = timeout(longest + DRAIN, all_ended).await;
+        let _ =
+            timeout(longest + DRAIN, async { tokio::select!(() = all_ended => {}, () = late => {}) }).await;
+    }
+
+    /// Ends all connections, those with a request open with its answer, but not those on which one may be coming
+    /// for no longer than this.
+    fn close_idle(&self, coming: Duration) {
+        let conns = self.conns.borrow();
+        conns.values().filter(|conn| !conn.is_coming(coming)).for_each(|conn| conn.shut(false));
     }
 
     /// The answer, and whether the connection may be kept after it.
@@ -255,6 +275,7 @@
         }
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
+        let deadline = self.ends.get().map_or(deadline, |ends| deadline.min(ends));
         // Servers tell requests apart by what clients call them: a second one under an open id would
         // run its effect twice, or be answered with the other's answer.
         let Some(waiting) = Waiting::new(service, head.txn) else {
--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Whether its first request, or a later one that has begun, may be coming for no longer than this.
+    pub fn is_coming(&self, within: Duration) -> bool {
+        matches!(self.phase.get(), Phase::New | Phase::Head) && self.since.get().elapsed() < within
+    }
+
     /// How dispensable the connection is where places are short; from 1 on it may be closed.
     pub fn spare(&self) -> f64 {
         let after = match self.phase.get() {
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -19,7 +19,7 @@
 
 use crate::meter::{metered, Meter};
 use crate::peers::Peers;
-use crate::sources::discovery::{watch, List, News};
+use crate::sources::discovery::{watch, List, News, AT_ONCE, SILENCE};
 use crate::sources::views::{believed, Views, LISTED};
 use crate::task::AbortOnDrop;
 use crate::upstream::exchange::Call;
@@ -28,8 +28,9 @@
 /// The module answers at the deadline it was given; what it has not answered this much later, the
 /// node answers, whatever the module does.
 const OVERDUE: Duration = Duration::from_millis(5);
-/// Pause before a watch that the module does not ask for is opened again.
-const AGAIN: Duration = Duration::from_millis(500);
+/// Pause before a watch on pushed lists is opened again: what its agent has counts as told meanwhile, and sends have
+/// to end half a second after that.
+const AGAIN: Duration = Duration::from_millis(100);
 /// Pause before a watch at a new address is opened again, and how often that is done before it is
 /// left to the module: its pauses are longer than the time in which the change has to be known.
 const MOVED_AGAIN: Duration = Duration::from_millis(100);
@@ -253,7 +254,9 @@
                 if let Some(held) = self.held.get_mut(&id) {
                     if let Some(reply) = held.reply.take() {
                         tracing::info!("a request was not answered by its deadline");
-                        let _ = reply.send((Answer::Late, held.at));
+                        // What was never sent anywhere may be asked again without harm.
+                        let answer = held.at.map_or(Answer::Refused(None), |_| Answer::Late);
+                        let _ = reply.send((answer, held.at));
                         self.events.push_back(Event::Lapsed(request_id(id)));
                         // One with no attempt out ends here; nothing else would forget it.
                         self.forget(id);
@@ -482,8 +485,9 @@
         let (Some(addr), Some(tx)) = (self.discovery, self.tx.upgrade()) else { return };
         self.watch += 1;
         let (number, revision) = (self.watch, self.revision);
+        let answer = if self.mode == Discovery::Push { AT_ONCE } else { SILENCE };
         self.watching = Some(AbortOnDrop::spawn(async move {
-            watch(addr, revision, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
+            watch(addr, revision, answer, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
         }));
     }
 }
--- a/crates/node/src/sources/discovery.rs
+++ b/crates/node/src/sources/discovery.rs
@@ -4,25 +4,29 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 use woodgap_decisions::settings::server_state;
 use woodgap_decisions::ServerState;
 use woodgap_membership::Transport;
 
+use super::objects::{Objects, Piece};
 use crate::task::AbortOnDrop;
 
 /// A watch sends at least an empty line every 2 s: one silent for this long is broken. Found out
 /// late, changes would be told to the node (by the rules) before it knows them.
-const SILENCE: Duration = Duration::from_millis(3_500);
-/// The longest line that is read: a list of some ten thousand servers.
-const LONGEST_LINE: usize = 4 << 20;
+pub const SILENCE: Duration = Duration::from_millis(3_500);
+/// What pushes lists stands on this machine and answers at once: one that has not after this time is silent, and
+/// what it gets when it speaks again counts as told at that moment.
+pub const AT_ONCE: Duration = Duration::from_millis(500);
+/// The longest list that is read: some ten thousand servers.
+const LONGEST_LIST: usize = 4 << 20;
 
 /// An entry of the list.
 #[derive(Clone, Debug)]
@@ -81,31 +85,10 @@
     })
 }
 
-/// The lines of a chunked answer; a line may be split over chunks anywhere.
-#[derive(Default)]
-struct Lines {
-    buffer: BytesMut,
-}
-
-impl Lines {
-    fn push(&mut self, chunk: &Bytes) {
-        self.buffer.extend_from_slice(chunk);
-    }
-
-    fn next(&mut self) -> Option<BytesMut> {
-        let end = self.buffer.iter().position(|&b| b == b'\n')?;
-        let mut line = self.buffer.split_to(end);
-        self.buffer.advance(1);
-        if line.last() == Some(&b'\r') {
-            line.truncate(line.len() - 1);
-        }
-        Some(line)
-    }
-}
-
-/// Watches from a revision on and hands on what comes until the watch ends; then says `Failed`.
-pub async fn watch(addr: SocketAddr, revision: u64, mut tell: impl FnMut(News)) {
-    if let Err(reason) = follow(addr, revision, &mut tell).await {
+/// Watches from a revision on and hands on what comes until the watch ends; then says `Failed`. The call is given
+/// up if it has not been answered after `answer`.
+pub async fn watch(addr: SocketAddr, revision: u64, answer: Duration, mut tell: impl FnMut(News)) {
+    if let Err(reason) = follow(addr, revision, answer, &mut tell).await {
         tracing::info!("discovery: {reason}");
     }
     tell(News::Failed);
@@ -113,41 +96,49 @@
 
 type Fault = Box<dyn std::error::Error>;
 
-async fn follow(addr: SocketAddr, revision: u64, tell: &mut impl FnMut(News)) -> Result<(), Fault> {
-    let stream = timeout(SILENCE, TcpStream::connect(addr)).await??;
+async fn follow(
+    addr: SocketAddr,
+    revision: u64,
+    answer: Duration,
+    tell: &mut impl FnMut(News),
+) -> Result<(), Fault> {
+    let stream = timeout(answer, TcpStream::connect(addr)).await??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDrop::spawn(async move { drop(connection.await) });
     let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
         .header("host", addr.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    let response = timeout(answer, sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Err(format!("watch answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut lines = Lines::default();
-    let mut first = true;
+    let (mut objects, mut first) = (Objects::default(), true);
+    // An object that has begun has to be whole by then, whatever drips in.
+    let mut whole_by = None;
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| "watch is silent")?;
+        let by = Instant::now() + SILENCE;
+        let frame = timeout_at(whole_by.unwrap_or(by), body.frame()).await.map_err(|_| "watch is silent")?;
         let Some(frame) = frame else { return Err("watch ended".into()) };
         let Ok(chunk) = frame?.into_data() else { continue };
-        lines.push(&chunk);
-        while let Some(line) = lines.next() {
-            if line.iter().all(u8::is_ascii_whitespace) {
-                // Even where nothing changed, the module is owed an answer to its call.
-                if first {
-                    tell(News::List(List::default()));
+        objects.push(&chunk);
+        while let Some(piece) = objects.next()? {
+            whole_by = None;
+            match piece {
+                Piece::Object(object) => {
+                    let value: Value = serde_json::from_slice(&object)?;
+                    tell(News::List(List::from_value(&value).ok_or("an object that is no list")?));
                 }
-                first = false;
-                continue;
+                // Even where nothing changed, the module is owed an answer to its call.
+                Piece::Empty if first => tell(News::List(List::default())),
+                Piece::Empty => {}
             }
             first = false;
-            let value: Value = serde_json::from_slice(&line)?;
-            tell(News::List(List::from_value(&value).ok_or("a line that is no list")?));
         }
-        if lines.buffer.len() > LONGEST_LINE {
-            return Err("a line is too long".into());
+        whole_by = objects.is_open().then(|| whole_by.unwrap_or(by));
+        if objects.len() > LONGEST_LIST {
+            return Err("a list is too long".into());
         }
     }
 }
@@ -169,19 +160,6 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn lines_may_be_split_anywhere() {
-        let mut lines = Lines::default();
-        let mut seen = Vec::new();
-        for byte in b"{\"a\":1}\r\n\n{\"b\":2}\n" {
-            lines.push(&Bytes::copy_from_slice(&[*byte]));
-            while let Some(line) = lines.next() {
-                seen.push(String::from_utf8(line.to_vec()).unwrap());
-            }
-        }
-        assert_eq!(seen, ["{\"a\":1}", "", "{\"b\":2}"]);
-    }
-
     #[test]
     fn an_entry_that_cannot_be_read_is_dropped_alone() {
         let value = serde_json::json!({"revision": 3, "complete": true, "members": [
--- a/crates/node/src/sources/mod.rs
+++ b/crates/node/src/sources/mod.rs
@@ -1,4 +1,5 @@
 //! Where lists of servers come from.
 
 pub mod discovery;
+mod objects;
 pub mod views;
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,74 @@
+//! The platform's node as a process, between servers and a discovery of the test's own.
+#![allow(dead_code)]
+
+mod site;
+mod world;
+
+use std::collections::HashMap;
+use std::io::BufRead;
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub use site::*;
+pub use world::*;
+
+/// Longer than anything takes on a machine that works.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A head and a body, read from a connection.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn read(input: &mut impl BufRead) -> Option<Message> {
+        let mut message = Message::default();
+        input.read_line(&mut message.first).ok().filter(|&n| n > 0)?;
+        loop {
+            let mut line = String::new();
+            input.read_line(&mut line).ok().filter(|&n| n > 0)?;
+            let Some((name, value)) = line.trim_end().split_once(": ") else { break };
+            message.headers.insert(name.to_lowercase(), value.to_owned());
+        }
+        let length = message.header("content-length").parse().unwrap_or(0);
+        message.body = vec![0; length];
+        input.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+pub fn request(class: &str, id: &str, left_ms: u64) -> Vec<u8> {
+    request_of("7f3a", class, id, left_ms)
+}
+
+pub fn request_of(key: &str, class: &str, id: &str, left_ms: u64) -> Vec<u8> {
+    let method = if class == "look" { "GET" } else { "POST" };
+    let keyed = if class == "put" { "Idempotency-Key: 77\r\n" } else { "" };
+    let body = if class == "look" { "" } else { "Content-Length: 5\r\n\r\nhello" };
+    let end = if body.is_empty() { "\r\n" } else { body };
+    format!(
+        "{method} /api?key={key}&x=1 HTTP/1.1\r\nHost: service.internal\r\nX-Txn: {id}\r\nX-Lane: {class}\r\n\
+        X-Org: acme\r\nX-Remaining-Ms: {left_ms}\r\n{keyed}{end}"
+    )
+    .into_bytes()
+}
+
+/// Waits for a condition.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/node/tests/common/site.rs
@@ -0,0 +1,170 @@
+//! The node's process and all that is around it.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::AtomicUsize;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use serde_json::{json, Value};
+
+use super::*;
+
+/// The node's process.
+pub struct Node {
+    pub child: Child,
+    pub addr: SocketAddr,
+    pub file: tempfile::NamedTempFile,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Node {
+    pub fn start(config: &Value) -> Node {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(config.to_string().as_bytes()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_woodgap"))
+            .env_clear()
+            .env("BALANCER_CONFIG", file.path())
+            .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let addr = log
+            .by_ref()
+            .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
+            .unwrap();
+        thread::spawn(move || log.for_each(drop));
+        Node { child, addr, file }
+    }
+
+    pub fn dial(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream
+    }
+
+    /// Sends text as it is, on a connection of its own; the answer.
+    pub fn raw(&self, text: &[u8]) -> Message {
+        let mut stream = self.dial();
+        stream.write_all(text).unwrap();
+        Message::read(&mut BufReader::new(stream)).expect("an answer")
+    }
+}
+
+pub struct Site {
+    pub node: Node,
+    pub does: Vec<Arc<Mutex<Does>>>,
+    pub members: Vec<Value>,
+    pub seen: Receiver<Seen>,
+    pub watches: Receiver<(Message, TcpStream)>,
+    pub config: Value,
+    pub room: Arc<Room>,
+}
+
+impl Site {
+    pub fn new(servers: usize) -> Site {
+        Site::with(servers, json!({"sockets": 256}))
+    }
+
+    pub fn with(servers: usize, limits: Value) -> Site {
+        Site::configured(servers, limits, |_| {})
+    }
+
+    /// With the settings changed.
+    pub fn configured(servers: usize, limits: Value, change: impl Fn(&mut Value)) -> Site {
+        let (tx, seen) = channel();
+        let room = Arc::new(Room { takes: AtomicUsize::new(usize::MAX), open: AtomicUsize::new(0) });
+        let does: Vec<_> = (0..servers).map(|_| Arc::new(Mutex::new(Does::Serve))).collect();
+        let members: Vec<Value> = does
+            .iter()
+            .enumerate()
+            .map(|(i, does)| {
+                let addr = server(i, does.clone(), room.clone(), tx.clone());
+                json!({"id": format!("s-{i}"), "host_port": addr.to_string(), "locality": "a", "flavor": "f",
+                    "cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0})
+            })
+            .collect();
+        let (tx, watches) = channel();
+        let class = |name: &str, semantics: &str| {
+            json!({"name": name, "aim": 20_000_000, "deadline": 60_000_000, "semantics": semantics,
+                "points": 1.0, "late-share": 0.2, "key-scope": "all", "key-ttl": 5_000_000})
+        };
+        let mut config = json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery(tx).to_string(), "seed": "1f",
+            "limits": limits,
+            "known": {"revision": 41, "complete": true, "members": members},
+            "settings": {
+                "group-size": 1, "registry-mode": "ask", "weight-source": "nominal",
+                "classes": [class("look", "safe"), class("pay", "unsafe"), class("put", "keyed")],
+                "tenants": [{"name": "acme", "quota-per-s": 0.0}],
+                "bounds": {"max-attempts": 3, "cancelling": true, "dial-timeout": 5_000_000,
+                    "keepalive": 60_000_000, "retry-after": true, "max-retry-after": 2_000_000},
+                "rules": {"ask-within": 1_000_000},
+                "report": {"fields": ["queue", "util"]},
+            },
+        });
+        change(&mut config["settings"]);
+        Site { node: Node::start(&config), does, members, seen, watches, config, room }
+    }
+
+    pub fn all_do(&self, what: Does) {
+        self.does.iter().for_each(|does| *does.lock().unwrap() = what);
+    }
+
+    pub fn dial(&self) -> TcpStream {
+        self.node.dial()
+    }
+
+    pub fn raw(&self, text: &[u8]) -> Message {
+        self.node.raw(text)
+    }
+
+    pub fn ask(&self, class: &str, id: &str) -> Message {
+        self.raw(&request(class, id, 60_000))
+    }
+
+    /// Keys that one server owns, and that server. Each met once: a key met more often is spread.
+    pub fn keys_of_one(&self) -> (usize, Vec<String>) {
+        let mut owned: HashMap<usize, Vec<String>> = HashMap::new();
+        for n in 0..60 {
+            let key = format!("k{n}");
+            assert_eq!(self.raw(&request_of(&key, "look", &key, 60_000)).status(), 200);
+            owned.entry(self.requests()[0].0).or_default().push(key);
+        }
+        owned.into_iter().max_by_key(|(server, keys)| (keys.len(), *server)).expect("servers")
+    }
+
+    /// The servers that requests have reached, with what came.
+    pub fn requests(&self) -> Vec<(usize, Message)> {
+        let taken = |seen| match seen {
+            Seen::Request(server, message) => Some((server, message)),
+            Seen::Closed => None,
+        };
+        self.seen.try_iter().filter_map(taken).collect()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.node.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.node.file.path(), text).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn watch(&self) -> (Message, TcpStream) {
+        self.watches.recv_timeout(PATIENCE).expect("a watch")
+    }
+}
--- /dev/null
+++ b/crates/node/tests/standing.rs
@@ -0,0 +1,210 @@
+//! When a change of the list counts as told (`docs/design/standing.md`): the node has to know it by then.
+
+mod common;
+
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::{json, Value};
+
+/// In the tests' settings, and what sends to a draining server may last beyond it.
+const STOP_SENDING: Duration = Duration::from_millis(500);
+
+/// What discovery does with a call.
+#[derive(Clone, Copy)]
+enum Call {
+    Reset,
+    /// It answers nothing.
+    Silent,
+    /// 503, as where discovery is down or has too many callers.
+    Down,
+    Watch,
+}
+
+/// Discovery that does this with its first calls, and lets the test write on the later ones.
+fn discovery_that(does: Vec<Call>) -> (SocketAddr, Receiver<(Instant, Call, TcpStream)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tx, calls) = channel();
+    thread::spawn(move || {
+        let mut does = does.into_iter();
+        for mut stream in listener.incoming().flatten() {
+            let at = Instant::now();
+            let does = does.next().unwrap_or(Call::Watch);
+            if Message::read(&mut BufReader::new(stream.try_clone().unwrap())).is_none() {
+                continue;
+            }
+            let head: &[u8] = match does {
+                Call::Reset => {
+                    drop(stream.shutdown(Shutdown::Both));
+                    b""
+                }
+                Call::Silent => b"",
+                Call::Down => b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n",
+                Call::Watch => b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            };
+            let _ = stream.write_all(head);
+            if tx.send((at, does, stream)).is_err() {
+                return;
+            }
+        }
+    });
+    (addr, calls)
+}
+
+fn pushed(settings: &mut Value) {
+    settings["registry-mode"] = json!("push");
+}
+
+fn quick(servers: usize, change: impl Fn(&mut Value)) -> Site {
+    Site::configured(servers, json!({"sockets": 256}), change)
+}
+
+/// The list on which the first server drains.
+fn drains(site: &Site, complete: bool) -> Value {
+    let mut members = site.members.clone();
+    members[0]["phase"] = json!("terminating");
+    json!({"revision": 50, "complete": complete, "members": members})
+}
+
+/// The next call that is a watch.
+fn next_watch(calls: &Receiver<(Instant, Call, TcpStream)>) -> TcpStream {
+    loop {
+        if let (_, Call::Watch, stream) = calls.recv_timeout(PATIENCE).expect("a watch") {
+            return stream;
+        }
+    }
+}
+
+/// Asks until that long after `told`; when the last request came to the first server.
+fn last_at_first(site: &Site, node: &Node, told: Instant, span: Duration) -> Duration {
+    let (mut last, mut asked) = (Duration::ZERO, 0);
+    site.requests();
+    while told.elapsed() < span {
+        asked += 1;
+        let (id, from) = (format!("l{asked}"), told.elapsed());
+        assert_eq!(node.raw(&request_of(&id, "pay", &id, 60_000)).status(), 200);
+        if site.requests().iter().any(|(server, _)| *server == 0) {
+            last = from;
+        }
+    }
+    assert!(asked > 20, "{asked}");
+    last
+}
+
+// What the agent has counts as told from the first moment, and whether or not a watch is open: calls that break must
+// not keep the list from a new process for longer than it may go on sending.
+#[test]
+fn a_new_process_has_the_pushed_list_before_it_must_stop_sending() {
+    let site = quick(3, pushed);
+    let (addr, calls) = discovery_that(vec![Call::Reset, Call::Reset]);
+    let mut config = site.config.clone();
+    config["discovery"] = json!(addr.to_string());
+    let node = Node::start(&config);
+    let start = Instant::now();
+    let list = drains(&site, true).to_string() + "\n";
+    let agent = thread::spawn(move || {
+        let mut stream = next_watch(&calls);
+        chunk(&mut stream, &list);
+        stream
+    });
+    let last = last_at_first(&site, &node, start, Duration::from_millis(1_500));
+    assert!(last < STOP_SENDING, "sent {last:?} after the start");
+    drop(agent.join());
+}
+
+// An agent that is silent at first must not take the node the whole time to find out.
+#[test]
+fn a_new_place_of_pushed_lists_is_known_within_four_seconds() {
+    let mut site = quick(3, pushed);
+    let (_, _old) = site.watch();
+    let (addr, calls) = discovery_that(vec![Call::Silent, Call::Reset, Call::Silent]);
+    site.config["discovery"] = json!(addr.to_string());
+    site.reload(&site.config.to_string());
+    let told = Instant::now();
+    let mut stream = next_watch(&calls);
+    chunk(&mut stream, &(drains(&site, true).to_string() + "\n"));
+    assert!(told.elapsed() < Duration::from_secs(4), "{:?}", told.elapsed());
+    let after = Duration::from_secs(4) + STOP_SENDING;
+    let last = last_at_first(&site, &site.node, told, after);
+    assert!(last < Duration::from_secs(4), "sent {last:?} after SIGHUP");
+}
+
+// One clock, whether lists are pushed or asked for: what a silent watch misses is known within 6 s.
+#[test]
+fn what_a_silent_watch_missed_is_known_within_six_seconds() {
+    let one = |mode: &'static str| {
+        move || {
+            let site = quick(2, |settings| {
+                settings["registry-mode"] = json!(mode);
+                settings["rules"] = json!({"ask-within": 10_000_000});
+            });
+            let (_, mut silent) = site.watch();
+            chunk(&mut silent, "\n");
+            let since = Instant::now();
+            let (request, mut stream) = site.watch();
+            assert!(request.first.contains("index=41 "), "{mode}: {}", request.first);
+            chunk(&mut stream, &(drains(&site, false).to_string() + "\n"));
+            until("the draining server is left alone", || {
+                site.requests();
+                (0..8).for_each(|n| assert_eq!(site.ask("pay", &n.to_string()).status(), 200));
+                site.requests().iter().all(|(server, _)| *server == 1)
+            });
+            assert!(since.elapsed() < Duration::from_secs(6), "{mode}: {:?}", since.elapsed());
+        }
+    };
+    let both = ["push", "ask"].map(|mode| thread::spawn(one(mode)));
+    both.into_iter().for_each(|one| one.join().unwrap());
+}
+
+// A node with no watch is held to its list for the settings' time from its last call, four times as long if that failed.
+#[test]
+fn discovery_is_asked_again_within_the_settings_time() {
+    const WITHIN: Duration = Duration::from_secs(2);
+    let site = quick(1, |settings| settings["rules"] = json!({"ask-within": WITHIN.as_micros() as u64}));
+    let (addr, calls) = discovery_that(vec![Call::Watch, Call::Down, Call::Reset, Call::Down]);
+    let mut config = site.config.clone();
+    config["discovery"] = json!(addr.to_string());
+    let _node = Node::start(&config);
+    let next = || calls.recv_timeout(PATIENCE).expect("a call");
+    let (_, _, mut watch) = next();
+    chunk(&mut watch, "\n");
+    drop(watch);
+    let broken = Instant::now();
+    let (mut last, _, _) = next();
+    assert!(last - broken < WITHIN, "{:?}", last - broken);
+    for _ in 0..3 {
+        let (at, _, _) = next();
+        assert!(at - last < 4 * WITHIN, "{:?}", at - last);
+        last = at;
+    }
+}
+
+// Lists may come indented, also on a watch, with the empty lines of one that nothing happens on around them.
+#[test]
+fn lists_may_come_indented() {
+    let site = quick(2, |_| {});
+    let (_, mut stream) = site.watch();
+    let list = serde_json::to_string_pretty(&drains(&site, false)).unwrap().replace('\n', "\r\n");
+    for part in format!("\n\r\n{list}\n\n").as_bytes().chunks(61) {
+        chunk(&mut stream, std::str::from_utf8(part).unwrap());
+    }
+    until("the draining server is left alone", || {
+        site.requests();
+        (0..8).for_each(|n| assert_eq!(site.ask("pay", &n.to_string()).status(), 200));
+        site.requests().iter().all(|(server, _)| *server == 1)
+    });
+    let mut back = site.members[0].clone();
+    back["up_since_ms"] = json!(1);
+    let list = json!({"revision": 51, "complete": false, "members": [back]});
+    chunk(&mut stream, &(serde_json::to_string_pretty(&list).unwrap() + "\n"));
+    until("it is back, on the same watch", || {
+        (0..8).for_each(|n| drop(site.ask("look", &n.to_string())));
+        site.requests().iter().any(|(server, _)| *server == 0)
+    });
+    assert!(site.watches.try_recv().is_err());
+}
