--- /dev/null
+++ b/crates/bookings/src/when.rs
@@ -0,0 +1,110 @@
+//! Moments that are known as intervals, and the window of a booking.
+
+use serde::{Deserialize, Serialize};
+
+use crate::line::percent_up;
+
+/// Microseconds of Unix time, or of a length of it.
+pub type Micros = u64;
+
+/// A moment as a node's clock knows it: the true one is surely in here, both ends included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Interval {
+    /// It is not earlier than this.
+    pub earliest: Micros,
+    /// It is not later than this.
+    pub latest: Micros,
+}
+
+impl Interval {
+    /// The interval that holds both.
+    pub fn new(one: Micros, other: Micros) -> Interval {
+        Interval { earliest: one.min(other), latest: one.max(other) }
+    }
+}
+
+impl From<Micros> for Interval {
+    fn from(at: Micros) -> Interval {
+        Interval { earliest: at, latest: at }
+    }
+}
+
+/// When a booking has its slots.
+///
+/// ```text
+///            ┌───────────────┐            slots
+///      ┌─────┘               └────┐       lead_percent, taper_percent of them, rounded up
+///   ───┘                          └───
+///    from  start            end  until    from = start - lead, until = end + taper
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Window {
+    /// All slots are there from here.
+    pub start: Micros,
+    /// And up to here, not included.
+    pub end: Micros,
+    /// So long before the start the tenant warms up.
+    pub lead: Micros,
+    /// So long after the end it runs out.
+    pub taper: Micros,
+    /// The part of the slots that the lead takes, in percent.
+    pub lead_percent: u8,
+    /// The part of the slots that the taper takes, in percent.
+    pub taper_percent: u8,
+}
+
+/// Slots for a time, the end not included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Step {
+    pub from: Micros,
+    pub until: Micros,
+    pub slots: u32,
+}
+
+impl Window {
+    /// A window without lead and taper.
+    pub fn plain(start: Micros, end: Micros) -> Window {
+        Window { start, end, lead: 0, taper: 0, lead_percent: 100, taper_percent: 100 }
+    }
+
+    /// When the lead begins.
+    pub fn from(&self) -> Micros {
+        self.start.saturating_sub(self.lead)
+    }
+
+    /// When the taper is over.
+    pub fn until(&self) -> Micros {
+        self.end.saturating_add(self.taper)
+    }
+
+    /// What so many slots take: lead, window, taper.
+    pub(crate) fn steps(&self, slots: u32) -> [Step; 3] {
+        let part = |percent| percent_up(slots, percent);
+        [
+            Step { from: self.from(), until: self.start, slots: part(self.lead_percent) },
+            Step { from: self.start, until: self.end, slots },
+            Step { from: self.end, until: self.until(), slots: part(self.taper_percent) },
+        ]
+    }
+
+    /// What so many slots are at a moment.
+    pub(crate) fn slots_at(&self, slots: u32, at: Micros) -> u32 {
+        let holds = |step: &&Step| (step.from..step.until).contains(&at);
+        self.steps(slots).iter().find(holds).map_or(0, |step| step.slots)
+    }
+
+    /// The same, ended at a moment at the latest.
+    pub(crate) fn cut(&self, at: Micros) -> Window {
+        let (from, until) = (self.from(), self.until().min(at).max(self.from()));
+        let (start, end) = (self.start.min(until), self.end.min(until));
+        Window { start, end, lead: start - from, taper: until - end, ..*self }
+    }
+
+    /// The same at another time, by where it begins.
+    pub(crate) fn moved(&self, from: Micros) -> Window {
+        let length = self.end - self.start;
+        let start = from.saturating_add(self.lead);
+        Window { start, end: start.saturating_add(length), ..*self }
+    }
+}
