--- a/crates/bookings/src/admit.rs
+++ b/crates/bookings/src/admit.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::book::Book;
-use crate::booking::{Booking, Cause, Key, Phase};
+use crate::booking::{Booking, Cause, Key, Phase, LAST};
 use crate::calendar::{first_full, next_fit, Full, Ground};
 use crate::command::{Told, Wish};
 use crate::line::Line;
@@ -36,15 +36,11 @@
         if wish.window.from() < settled {
             return Err(Refusal::TooLate { from: wish.window.from(), earliest: settled });
         }
-        let (mut all, mut own) = (0, 0);
-        for booking in self.bookings().filter(|booking| booking.occupies()) {
-            all += 1;
-            own += u32::from(booking.tenant == tenant);
-        }
-        if own >= allowance.bookings {
+        let own = self.bookings().filter(|booking| booking.occupies() && booking.tenant == tenant);
+        if own.count() >= allowance.bookings as usize {
             return Err(Refusal::TenantBookings { most: allowance.bookings });
         }
-        if all >= MOST_BOOKINGS {
+        if self.form.bookings.len() - self.tally.over >= MOST_BOOKINGS {
             return Err(Refusal::BookFull);
         }
         let id = self.next_number();
@@ -121,7 +117,9 @@
         if window.lead_percent > 100 || window.taper_percent > 100 {
             return wrong("lead and taper take 0 to 100 percent of the slots");
         }
-        if window.lead > window.start || window.end.checked_add(window.taper).is_none() {
+        if window.lead > window.start
+            || window.end.checked_add(window.taper).is_none_or(|until| until >= LAST)
+        {
             return wrong("its lead or its taper is longer than time: give a shorter one");
         }
         let (length, longest) = (window.until() - window.from(), self.form.settings.longest);
--- a/crates/bookings/src/book.rs
+++ b/crates/bookings/src/book.rs
@@ -1,6 +1,7 @@
 //! The document, and what is worked out from it to decide quickly.
 
 use std::collections::BTreeMap;
+use std::ops::{Add, Sub};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -38,9 +39,30 @@
     pub(crate) lines: BTreeMap<Arc<str>, Lines>,
     /// When time next changes something; 0 where that has to be looked up.
     pub(crate) due: Micros,
-    pub(crate) head: usize,
+    head: usize,
+    pub(crate) tally: Tally,
+}
+
+/// Sums over all bookings.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Tally {
+    /// Bytes.
     body: usize,
+    /// Bytes that it would take to say that each is short.
     spare: usize,
+    /// Those that are over.
+    pub over: usize,
+    /// Those that are short.
+    pub short: usize,
+}
+
+impl Tally {
+    fn count(&mut self, booking: &Booking, how: fn(usize, usize) -> usize) {
+        self.body = how(self.body, size(booking));
+        self.spare = how(self.spare, booking.spare());
+        self.over = how(self.over, usize::from(!booking.occupies()));
+        self.short = how(self.short, usize::from(booking.short.is_some()));
+    }
 }
 
 impl PartialEq for Book {
@@ -63,14 +85,13 @@
     }
 
     pub(crate) fn of(form: Form) -> Result<Book, Refusal> {
-        let mut book = Book { form, lines: BTreeMap::new(), due: 0, head: 0, body: 0, spare: 0 };
+        let mut book = Book { form, lines: BTreeMap::new(), due: 0, head: 0, tally: Tally::default() };
         book.measure()?;
         for (name, lines) in &mut book.lines {
             let on_it = book.form.bookings.iter().filter(|booking| booking.occupies());
             lines.used = Arc::new(Line::sum(on_it.filter_map(|booking| booking.steps(name)).flatten()));
         }
-        book.body = book.bookings().map(size).sum();
-        book.spare = book.bookings().map(Booking::spare).sum();
+        book.form.bookings.iter().for_each(|booking| book.tally.count(booking, usize::add));
         Ok(book)
     }
 
@@ -125,12 +146,12 @@
     /// Bytes of the written book, at most.
     pub fn bytes(&self) -> usize {
         // Its mark, the last number, and how many bookings there are.
-        self.head + self.body + 1 + 10 + 10
+        self.head + self.tally.body + 1 + 10 + 10
     }
 
     /// Bytes that the bookings need, with what each needs to say that it is short.
     pub(crate) fn needs(&self) -> usize {
-        self.body + self.spare + 1 + 10 + 10
+        self.tally.body + self.tally.spare + 1 + 10 + 10
     }
 
     /// Slots that can be booked in a group at a moment, and how many of them are.
@@ -147,8 +168,7 @@
     pub(crate) fn put(&mut self, booking: Booking) {
         self.remove(booking.id);
         self.draw(&booking, Line::add);
-        self.body += size(&booking);
-        self.spare += booking.spare();
+        self.tally.count(&booking, usize::add);
         self.due = self.due.min(booking.due().map_or(Micros::MAX, |due| due.0));
         if let Err(place) = self.place(booking.id) {
             self.form.bookings.insert(place, Arc::new(booking));
@@ -160,8 +180,7 @@
         let place = self.place(id).ok()?;
         let booking = self.form.bookings.remove(place);
         self.draw(&booking, Line::sub);
-        self.body -= size(&*booking);
-        self.spare -= booking.spare();
+        self.tally.count(&booking, usize::sub);
         Some(booking)
     }
 
--- a/crates/bookings/src/booking.rs
+++ b/crates/bookings/src/booking.rs
@@ -92,8 +92,10 @@
     pub left: u32,
 }
 
-/// Bytes of a [`Short`] beside its group's name, at most.
-const SHORT_BYTES: usize = 2 + 10 + 10 + 5;
+/// Bytes of a [`Short`] beside its group's name, at most: its mark, a length, two moments, slots.
+const SHORT_BYTES: usize = 1 + 1 + 8 + 8 + 3;
+/// Moments are before this, so that seven bits a byte are enough for eight bytes.
+pub(crate) const LAST: Micros = 1 << 56;
 
 /// A command that was taken: hashes of its key and of what it said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -167,7 +169,7 @@
         let window = &self.window;
         let order = window.lead <= window.start && window.start <= window.end;
         let parts = self.parts.len() <= MOST_PARTS && self.parts.values().all(|slots| *slots <= MOST_SLOTS);
-        order && parts && window.end.checked_add(window.taper).is_some()
+        order && parts && window.end.checked_add(window.taper).is_some_and(|until| until < LAST)
     }
 
     /// What it takes of a group.
--- a/crates/bookings/src/entitle.rs
+++ b/crates/bookings/src/entitle.rs
@@ -120,15 +120,15 @@
 
     /// The moments after one and before another at which what somebody gets of a group may change.
     fn edges(&self, group: &str, after: Micros, before: Micros) -> BTreeSet<Micros> {
+        let near = |at: &Micros| (after.saturating_add(1)..before).contains(at);
         let mut edges = BTreeSet::new();
         let entitled = self.bookings().filter(|booking| booking.entitles());
         for step in entitled.filter_map(|booking| booking.steps(group)).flatten() {
-            edges.extend([step.from, step.until]);
+            edges.extend([step.from, step.until].into_iter().filter(near));
         }
         if let Some(lines) = self.lines.get(group) {
-            edges.extend(lines.capacity.firm.edges(after));
+            edges.extend(lines.capacity.firm.edges(after).take_while(near));
         }
-        edges.retain(|at| (after.saturating_add(1)..before).contains(at));
         edges
     }
 }
--- a/crates/bookings/src/settle.rs
+++ b/crates/bookings/src/settle.rs
@@ -106,6 +106,9 @@
 
     /// Forgets what was over long ago, or is too much to keep.
     pub(crate) fn retire(&mut self, now: Interval) {
+        if self.tally.over == 0 {
+            return;
+        }
         let kept = self.form.settings.kept;
         let mut ended: BTreeMap<&str, BTreeSet<(Micros, u64)>> = BTreeMap::new();
         for booking in self.bookings() {
--- a/crates/bookings/src/take.rs
+++ b/crates/bookings/src/take.rs
@@ -54,7 +54,7 @@
                 None
             }
         };
-        if booking.is_none() || book.bookings().any(|booking| booking.short.is_some()) {
+        if booking.is_none() || book.tally.short > 0 {
             book.reckon(now, &mut told);
         }
         book.retire(now);
