--- a/crates/bookings/src/calendar.rs
+++ b/crates/bookings/src/calendar.rs
@@ -5,7 +5,7 @@
 //! later segments the last: each segment that is too full forbids an interval of beginnings, and the intervals of each
 //! ground and step come in order, so the first beginning that none forbids is found by merging them.
 
-use crate::line::{Line, Pairs};
+use crate::line::{Line, Pair, Pairs};
 use crate::when::{Micros, Window};
 
 /// Something that a booking has to fit into.
@@ -56,9 +56,12 @@
                 offset: step.from - from,
                 length: step.until - step.from,
                 now: None,
+                next: None,
             });
         }
     }
+    // Who wants most finds out soonest that nothing fits.
+    all.sort_by_key(|forbidden| std::cmp::Reverse(forbidden.slots));
     loop {
         let before = from;
         for forbidden in &mut all {
@@ -81,6 +84,8 @@
     offset: Micros,
     length: Micros,
     now: Option<(Micros, Micros)>,
+    /// A segment that is past the step where it begins by now.
+    next: Option<Pair>,
 }
 
 impl Forbidden<'_> {
@@ -94,9 +99,16 @@
                     self.now = None;
                 }
                 None => {
-                    let slots = self.slots;
-                    let too_full = self.pairs.find(|pair| pair.one < pair.other.saturating_add(slots));
-                    let Some(pair) = too_full else { return Some(from) };
+                    let Some(pair) = self.next.take().or_else(|| self.pairs.next()) else {
+                        return Some(from);
+                    };
+                    if pair.from >= from.saturating_add(self.offset + self.length) {
+                        self.next = Some(pair);
+                        return Some(from);
+                    }
+                    if pair.one >= pair.other.saturating_add(self.slots) {
+                        continue;
+                    }
                     // A step that meets the segment [a, b) begins after a - length and before b.
                     let first = (pair.from + 1).saturating_sub(self.offset + self.length);
                     let last = pair.until.saturating_sub(self.offset + 1);
