Own zone first where leaving it is dear; late connections and hung servers are no jam

Change: (1) the own zone's owners go first for as many slots as makes them as slow as the others (kinds.rs, route.rs), where a crossing costs 0.05 or more; zones are told by a hash of their names. (2) A dial that takes all its time ejects at the second in a row only (outcome.rs). (3) What is out at ejected servers does not count against the limit.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -30,9 +30,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub usize);
 
-/// A zone, numbered by the host.
+/// A zone. Made from its name alone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ZoneId(pub u32);
+pub struct ZoneId(pub u64);
 
 /// A cell: servers that share their knowledge of the keys they met.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -162,6 +162,10 @@
     pub retry_after: bool,
     /// The longest such advice that clients heed.
     pub max_retry_after: Micros,
+    /// The node's own zone, where it is known.
+    pub zone: Option<ZoneId>,
+    /// Points taken off for an attempt that leaves it, per first try.
+    pub far_price: f64,
     /// Points taken off for a new connection per first try.
     pub handshake_price: f64,
     /// Points taken off for a hundred open connections a server.
@@ -176,6 +180,8 @@
     pub ask_within: Micros,
     /// A key of an in-order class rests this long after an attempt that may still be running.
     pub settle_after_doubt: Micros,
+    /// A connection that is not there by then failed.
+    pub dial_timeout: Micros,
     /// [`Outcome::Full`] does not prove that the attempt never ran.
     pub full_may_have_run: bool,
     /// Place of the part of its cores in use in a server's load report.
@@ -199,6 +205,8 @@
             max_attempts: 1,
             retry_after: false,
             max_retry_after: 0,
+            zone: None,
+            far_price: 0.0,
             handshake_price: 0.0,
             connection_price: 0.0,
             start_capacity: 1.0,
@@ -206,6 +214,7 @@
             fall_multiple: 1.0,
             ask_within: 10_000_000,
             settle_after_doubt: 0,
+            dial_timeout: 250_000,
             full_may_have_run: false,
             util_field: None,
         }
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -1,5 +1,4 @@
 //! The decisions. The interface (settings, events, actions) is `src/api.rs`.
-//!
 //! The ordinary path: a request's key picks a slot of the Maglev table, the slot's owner serves
 //! it. Every exception only ever makes a request walk on from its slot to the next owner that
 //! can carry it: see `Balancer::route`.
@@ -53,10 +52,15 @@
     unlinked: f64,
     /// Answer times against their classes' norms, smoothed.
     ratio: f64,
+    /// Part of the slots that the own zone's servers get first, and how slow these and the others answer.
+    near: f64,
+    ratios: [f64; 2],
     /// Most requests that this node keeps in flight; unlimited until servers turn some away.
     limit: f64,
     /// What is in flight, smoothed.
     usual: f64,
+    /// What is in flight at servers that are ejected: the others have room for as much.
+    stuck: u32,
     /// Part of the fleet that is ejected.
     ejected: f64,
     /// So much is ejected that ejections are ignored.
@@ -98,6 +102,7 @@
     /// A node at its start. `seed` feeds its random choices and nothing that nodes agree on.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let norm = |c: &Class| Norm { mean: c.aim as f64 / 4.0, rates: [0.0; 2], failing: 0.0 };
+        let near = f64::from(u8::from(settings.far_price >= FAR_DEAR));
         Balancer {
             tenant_rates: vec![0.0; settings.tenants.len()],
             rng: Rng::with_seed(seed),
@@ -115,7 +120,7 @@
             hot: Vec::new(),
             window: 1.0,
             retries: RETRY_BURST,
-            mood: Mood { limit: f64::INFINITY, ratio: 1.0, ..Mood::default() },
+            mood: Mood { limit: f64::INFINITY, ratio: 1.0, ratios: [1.0; 2], near, ..Mood::default() },
             subscribed: false,
             refusals: 0,
             settings,
--- a/crates/decisions/src/brain/cold.rs
+++ b/crates/decisions/src/brain/cold.rs
@@ -24,10 +24,9 @@
         let spent = warmth < 1.0 && server.budget < 1.0;
         let ejected = server.ejected.is_some() && !self.mood.panic;
         if spent || ejected {
-            0.0
-        } else {
-            (server.share * self.kinds[server.kind].pull)
-                .min(warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0))
+            return 0.0;
         }
+        let most = warmth * (COLD_CARE * self.settings.fall_multiple).max(1.0);
+        (server.share * self.kinds[server.kind].pull).min(most)
     }
 }
--- a/crates/decisions/src/brain/health.rs
+++ b/crates/decisions/src/brain/health.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// A server is passed by for a class when this smoothed part of its latest answers to it are errors or
-/// time-outs, two in a row, unless the class fails as much everywhere. Back from that, one error is enough.
+/// A server is passed by for a class when this smoothed part of its latest answers to it, two in a row, are
+/// errors or time-outs, unless the class fails everywhere.
 pub(super) const SICK: f64 = 0.5;
 pub(super) const SICK_STEP: f64 = 0.3;
 /// First ejection; each further one doubles it up to the longest.
@@ -112,7 +112,7 @@
         self.shed_held(out);
         let slowest = self.norms.iter().map(|n| n.mean).fold(0.0, f64::max);
         let silence = ((SILENCE * slowest) as Micros).max(SILENCE_LEAST);
-        let (mut ejected, mut total, mut able) = (0.0, 0.0, 0.0);
+        let (mut ejected, mut total, mut able, mut stuck) = (0.0, 0.0, 0.0, 0);
         // What the fleet serves tells what a server can do; where it serves next to nothing, as when all of
         // it is cold, a server surely does one request of the slowest class at a time, for all nodes.
         let serves = self.mood.served / self.window / self.mood.able.max(1.0);
@@ -146,7 +146,7 @@
             server.budget = (server.budget + gain).min(1.0 + gain);
             match server.ejected {
                 Some(until) => {
-                    ejected += size;
+                    (ejected, stuck) = (ejected + size, stuck + server.inflight);
                     if self.settings.may_probe && self.now >= until && !server.trial {
                         server.trial = true;
                         out.push(Action::Probe(server.member.server));
@@ -158,7 +158,8 @@
         self.weigh_kinds();
         self.mood.able = able;
         self.mood.limit *= LIMIT_REGAIN;
-        self.mood.usual += 0.1 * (f64::from(self.inflight) - self.mood.usual);
+        self.mood.stuck = stuck;
+        self.mood.usual += 0.1 * (self.carried() - self.mood.usual);
         self.mood.ejected = ejected / total.max(f64::MIN_POSITIVE);
         self.mood.panic = self.mood.ejected > PANIC;
         self.forget();
--- a/crates/decisions/src/brain/kinds.rs
+++ b/crates/decisions/src/brain/kinds.rs
@@ -5,11 +5,14 @@
 
 /// Kinds that are told apart; servers of any further one count as the first.
 const MOST_KINDS: usize = 16;
-/// What one answer moves a kind's pull by its slowness, and the most that a sweep's answers do.
+/// What one answer, or all of a sweep, move a pull by their slowness; the least, as a part of the largest.
 const PULL: f64 = 0.1;
-const PULL_MOST: f64 = 0.1;
-/// The least pull, as a part of the largest.
 const LEAST_PULL: f64 = 0.03;
+/// Where leaving the zone costs an attempt this much, its servers go first, for as many slots as makes them
+/// as slow as the others, moved by so much a sweep. Some always go far, to compare.
+pub(super) const FAR_DEAR: f64 = 0.05;
+const NEAR_STEP: f64 = 0.1;
+const NEAR_MOST: f64 = 0.95;
 
 /// A kind of servers.
 pub(super) struct Kind {
@@ -20,6 +23,13 @@
     news: (f64, f64),
 }
 
+impl Kind {
+    /// Counts an answer, `ratio` times as slow as its class's norm, where that usually is `usual`.
+    pub(super) fn heard(&mut self, ratio: f64, usual: f64) {
+        self.news = (self.news.0 + 1.0, self.news.1 + (ratio / usual - 1.0).min(2.0));
+    }
+}
+
 impl Balancer {
     /// The place of a kind.
     pub(super) fn kind(&mut self, id: KindId) -> usize {
@@ -31,19 +41,15 @@
         known.unwrap_or(0)
     }
 
-    /// Counts an answer, `ratio` times as slow as its class's norm.
-    pub(super) fn observe_kind(&mut self, kind: usize, ratio: f64) {
-        self.mood.ratio += 0.02 * (ratio - self.mood.ratio);
-        let news = &mut self.kinds[kind].news;
-        *news = (news.0 + 1.0, news.1 + (ratio / self.mood.ratio - 1.0).min(2.0));
-    }
-
     /// Servers of a kind that answers slower than the others get less, until all answer alike.
     pub(super) fn weigh_kinds(&mut self) {
         for kind in &mut self.kinds {
             let (answers, slower) = std::mem::take(&mut kind.news);
-            kind.pull *= (-PULL.min(PULL_MOST / answers.max(1.0)) * slower).exp();
+            kind.pull *= (-PULL / answers.max(1.0) * slower).exp();
         }
+        let most = if self.settings.far_price < FAR_DEAR { 0.0 } else { NEAR_MOST };
+        let slower = self.mood.ratios[0] / self.mood.ratios[1] - 1.0;
+        self.mood.near = (self.mood.near - NEAR_STEP * slower).clamp(0.0, most);
         let most = self.kinds.iter().map(|kind| kind.pull).fold(0.0, f64::max);
         self.kinds.iter_mut().for_each(|kind| kind.pull = (kind.pull / most).max(LEAST_PULL));
     }
--- a/crates/decisions/src/brain/limit.rs
+++ b/crates/decisions/src/brain/limit.rs
@@ -14,17 +14,21 @@
 pub(super) const LEVELS: f64 = 0.5;
 
 impl Balancer {
+    /// What counts against the limit.
+    pub(super) fn carried(&self) -> f64 {
+        f64::from(self.inflight.saturating_sub(self.mood.stuck))
+    }
+
     /// Servers that are crowded jam together: holds down what is in flight.
     pub(super) fn hold_down(&mut self) {
         let keep = 1.0 - (LIMIT_CUT * self.window / self.mood.sends.max(1.0)).min(0.2);
-        let held = self.mood.usual.max(f64::from(self.inflight)) + 1.0;
+        let held = self.mood.usual.max(self.carried()) + 1.0;
         self.mood.limit = (self.mood.limit.min(held) * keep).max(LEAST_LIMIT);
     }
 
-    /// Counts a tenant's request and tells whether it goes beyond the tenant's quota, taking
-    /// this node's traffic for its even part of all. A client's retries belong to its first try: counted
-    /// anew, each refusal would put more of the tenant beyond its quota. By key, as the limit refuses:
-    /// the retry of one that is beyond is beyond as well.
+    /// Counts a tenant's request and tells whether it goes beyond the tenant's quota, taking this node's
+    /// traffic for its even part of all. A client's retries belong to its first try: counted anew, each
+    /// refusal would put more beyond. By key, so that the retry of one that is beyond is beyond as well.
     pub(super) fn over_share(&mut self, tenant: Option<TenantId>, repeat: bool, slot: usize) -> bool {
         let Some(TenantId(t)) = tenant else { return false };
         let Some(rate) = self.tenant_rates.get_mut(t) else { return false };
@@ -37,11 +41,9 @@
     /// Worth per unit of work, as far as a node can tell.
     pub(super) fn value(&self, class: usize, over: bool) -> f64 {
         let points = self.settings.classes[class].points;
-        let value = match self.settings.worth_by {
-            WorthBy::Work => points,
-            WorthBy::Request => points / self.norms[class].mean.max(1.0),
-        };
-        value * if over { self.settings.over_share_worth } else { 1.0 }
+        let work =
+            if self.settings.worth_by == WorthBy::Work { 1.0 } else { self.norms[class].mean.max(1.0) };
+        points / work * if over { self.settings.over_share_worth } else { 1.0 }
     }
 
     /// Whether to refuse a new request: beyond the limit, by worth and by key.
@@ -57,7 +59,7 @@
         }
         let reserve = if higher > 0.0 { RESERVE * higher / (lower + higher) } else { 0.0 };
         let spread = if self.settings.warm_keys { LEVELS } else { 0.0 };
-        f64::from(self.inflight) + self.rng.f64()
+        self.carried() + self.rng.f64()
             >= self.mood.limit * (1.0 - reserve) * (1.0 + spread * (0.5 - slot_level(slot)))
     }
 }
--- a/crates/decisions/src/brain/links.rs
+++ b/crates/decisions/src/brain/links.rs
@@ -2,11 +2,9 @@
 
 use super::*;
 
-/// Connections that all nodes together may keep idle at a server of size 1, by what they expect of its pace;
-/// fewer while this part of the attempts gets no connection, none at twice that. A server takes a number that
-/// nobody tells, and each one that is kept costs it capacity. More saves handshakes and shuts out whoever
-/// keeps none, who alone sees it: from this price of a handshake on, more are kept by the square of it, and
-/// never more than any server should take.
+/// Connections that all nodes together may keep idle at a server of size 1; fewer while this part of the
+/// attempts gets no connection, none at twice that. More saves handshakes and shuts out whoever keeps none,
+/// who alone sees it: from this price of a handshake on, more are kept by its square, up to the most.
 pub(super) const LINKS_KEPT: f64 = 8.0;
 pub(super) const LINKS_MOST: f64 = 32.0;
 pub(super) const LINKS_SHORT: f64 = 0.02;
@@ -15,11 +13,9 @@
 pub(super) const LINK_PRICE: f64 = 0.01;
 
 impl Balancer {
-    /// How long connections that nothing is on are kept. Left alone every node comes to keep one to each
-    /// server, and where there are more nodes than a server takes connections, most get none. A node may
-    /// keep its part of what all may, which at its pace it does by giving one up after `part / pace`. A part
-    /// of one makes a use again before that likely; below, what is kept mostly stands in others' way, so the
-    /// less likely the shorter, unless handshakes are dear.
+    /// How long connections that nothing is on are kept. A node may keep its part of what all may, which at
+    /// its pace it does by giving one up after `part / pace`. A part of one makes a use again before that
+    /// likely; below, the less likely the shorter, unless handshakes are dear.
     pub(super) fn link_rest(&self) -> Micros {
         let group = f64::from(self.settings.group_size);
         let size = self.size_total / self.servers.len().max(1) as f64;
--- a/crates/decisions/src/brain/outcome.rs
+++ b/crates/decisions/src/brain/outcome.rs
@@ -6,8 +6,7 @@
 pub(super) const LATE_PART: f64 = 0.15;
 /// With no more than this part of the fleet ejected, the others have room for its work.
 pub(super) const FEW_OUT: f64 = 0.2;
-/// A server is ejected when this part of its latest attempts failed, and this many times the
-/// fleet's usual part. Lower ejects sooner, and more often by chance.
+/// A server is ejected when this part of its latest attempts failed, and this many times the fleet's part.
 pub(super) const FAILING: f64 = 0.4;
 pub(super) const FAILING_MORE: f64 = 2.5;
 
@@ -62,17 +61,20 @@
         if answer {
             server.quiet_since = self.now;
         }
-        // A server that holds requests of ours and makes no connection has no room for more. One full
-        // owner is a local matter: only where the next one is full too, the fleet may be.
+        // A connection that is not there in time tells nothing of room; one refused by a server that holds
+        // requests of ours does. One full owner is a local matter: if the next is full too, the fleet may be.
+        let unlinked = closed.outcome == Outcome::ConnectFailed;
+        let unmet = unlinked && closed.spent >= self.settings.dial_timeout;
+        server.unmet = if unmet { server.unmet + 1 } else { 0 };
         let holds = server.inflight > 0;
-        let full = closed.outcome == Outcome::Full || (closed.outcome == Outcome::ConnectFailed && holds);
+        let full = closed.outcome == Outcome::Full || (unlinked && !unmet && holds);
         if full || closed.outcome == Outcome::Ok {
             server.turned += 0.15 * (f64::from(u8::from(full)) - server.turned);
         }
         let util = self.settings.util_field.and_then(|field| closed.load.get(field));
         server.util = util.copied().or(server.util);
         let answered = closed.outcome == Outcome::Ok;
-        let (mut late, mut slow) = (false, None);
+        let mut late = false;
         // An attempt that timed out was at least as slow as that. Where no word of its server came after
         // it and few servers are out, that one hangs: no sign of more work than the others can do.
         let silent = server.quiet_since + closed.spent <= self.now;
@@ -84,30 +86,26 @@
             let ratio = (spent / norm.mean.max(1.0)).min(5.0);
             server.ratio += 0.15 * (ratio - server.ratio);
             server.answers += 1;
-            slow = Some((server.kind, ratio));
+            let side = &mut self.mood.ratios[usize::from(self.settings.zone != Some(server.member.zone))];
+            *side += 0.05 * (ratio - *side);
+            self.mood.ratio += 0.02 * (ratio - self.mood.ratio);
+            self.kinds[server.kind].heard(ratio, self.mood.ratio);
         }
         if answered {
             self.mood.served += 1.0;
             norm.mean += 0.02 * (spent - norm.mean);
         }
         let crowded = full && !server.turns_away_idle();
-        if full {
-            let yields = server.full_yield();
-            server.share = (server.share * yields).max(LEAST_SHARE);
-        }
+        let yields = if full { server.full_yield() } else { 1.0 };
+        server.share = (server.share * yields).max(LEAST_SHARE);
         if answered || full {
             server.reinstate();
         }
-        if let Some((kind, ratio)) = slow {
-            self.observe_kind(kind, ratio);
-        }
-        let unlinked = f64::from(u8::from(closed.outcome == Outcome::ConnectFailed));
-        self.mood.unlinked += 0.03 * (unlinked - self.mood.unlinked);
+        self.mood.unlinked += 0.03 * (f64::from(u8::from(unlinked && !unmet)) - self.mood.unlinked);
         self.servers[i].linked = Some(self.now);
         self.close_rested(i, SWEEP, out);
-        // Errors, resets and time-outs are one kind of symptom. Where the whole fleet shows it, moving
-        // requests on helps nobody, so only what stands out is ejected. No connection to a server that
-        // holds nothing of ours is proof by itself; so is any failure of a trial.
+        // Where the whole fleet fails, moving on helps nobody: only what stands out is ejected. No connection
+        // to a server that holds nothing of ours is proof by itself; so is any failure of a trial.
         let failed = matches!(closed.outcome, Outcome::Error | Outcome::Reset | Outcome::Timeout);
         let error = closed.outcome == Outcome::Error;
         let counts = error || answered || (timed_out && !silent);
@@ -119,7 +117,7 @@
             server.failing += 0.15 * (failed - server.failing);
             self.mood.failing += 0.01 * (failed - self.mood.failing);
         }
-        let dead = closed.outcome == Outcome::ConnectFailed && !full;
+        let dead = unlinked && !full && (!unmet || server.unmet > 1 || server.ejected.is_some());
         let stands_out = server.failing > FAILING.max(FAILING_MORE * self.mood.failing);
         if !earlier && (dead || (failed && (stands_out || server.ejected.is_some()))) {
             self.eject(i);
--- a/crates/decisions/src/brain/requests.rs
+++ b/crates/decisions/src/brain/requests.rs
@@ -1,12 +1,10 @@
 //! A request from its arrival to its final answer, and the order of those that must not overtake.
-//! Guards against two requests of an in-order key running together or out of turn. A key's turn is
-//! held until nothing of the request is out, so a silent server holds up its keys: what waits is
-//! refused while its client can still be served elsewhere.
+//! An in-order key's turn is held until nothing of its request is out, so a silent server holds up its
+//! keys: what waits is refused while its client can still be served elsewhere.
 
 use super::*;
 
-/// When a refused client ought to come back. Longer eases an overload and costs those who would have
-/// been served sooner.
+/// When a refused client ought to come back. Longer eases an overload and costs who would be served sooner.
 pub(super) const COME_BACK: Micros = 20_000;
 
 /// What became of an attempt.
--- a/crates/decisions/src/brain/retry.rs
+++ b/crates/decisions/src/brain/retry.rs
@@ -57,11 +57,7 @@
         }
         let late = (LATE * self.norms[pending.class].mean) as Micros;
         // A second attempt without time to be answered only wastes work.
-        if late * 2 > left {
-            left
-        } else {
-            late.max(1)
-        }
+        [late.max(1), left][usize::from(late * 2 > left)]
     }
 
     /// Whether a server beside this one could take a further attempt. Where none could, an early time-out
--- a/crates/decisions/src/brain/route.rs
+++ b/crates/decisions/src/brain/route.rs
@@ -1,5 +1,4 @@
-//! The walk from a slot to the owner that serves. Hot keys are told by bounded counts of this
-//! node's own traffic, which is a sample of the fleet's.
+//! The walk from a slot to the owner that serves. Hot keys are told by bounded counts of own traffic.
 
 use super::*;
 
@@ -44,7 +43,8 @@
         let repeatable = self.settings.classes[pending.class].semantics != Semantics::Unsafe;
         let mut seen: Vec<u32> = Vec::with_capacity(8);
         let mut chosen: Vec<(usize, f64)> = Vec::new();
-        let mut fallback = None;
+        let (mut fallback, mut far) = (None, None);
+        let near = self.settings.zone.filter(|_| slot_level(pending.slot) < self.mood.near);
         let slots = if pending.attempts.is_empty() { WALK_SLOTS } else { TABLE_SLOTS };
         for step in 0..slots.min(self.table.len()) {
             let slot = (pending.slot + step) % TABLE_SLOTS;
@@ -71,6 +71,10 @@
                 fallback = fallback.or((share >= FALLBACK_SHARE).then_some(owner as usize));
                 continue;
             }
+            if near.is_some_and(|zone| zone != server.member.zone) {
+                far = far.or(Some(owner as usize));
+                continue;
+            }
             let carries = share * server.member.size / self.size_total;
             chosen.push((owner as usize, carries));
             need -= HOT_LOAD * carries;
@@ -84,7 +88,7 @@
             at -= c.1;
             at <= 0.0
         });
-        pick.or(chosen.last()).map(|c| c.0).or(fallback)
+        pick.or(chosen.last()).map(|c| c.0).or(far).or(fallback)
     }
 
     pub(super) fn count_key(&mut self, key: Key) {
--- a/crates/decisions/src/brain/server.rs
+++ b/crates/decisions/src/brain/server.rs
@@ -6,9 +6,8 @@
 pub(super) const SLOW: f64 = 2.2;
 /// Shares: what a full answer leaves, what a sweep gives back, the least that is left.
 pub(super) const FULL_YIELD: f64 = 0.6;
-/// A server that reports less than this part of its cores in use turns nobody away for want of room:
-/// its share yields only by this, while more than this part of what it gets comes back. See
-/// `Server::full_yield`.
+/// A server that reports less than this part of its cores in use turns nobody away for want of room: its
+/// share yields only by this, while more than this part of what it gets comes back.
 pub(super) const IDLE: f64 = 0.7;
 pub(super) const TURNED_YIELD: f64 = 0.95;
 pub(super) const TURNED_MOST: f64 = 0.6;
@@ -26,6 +25,8 @@
     pub(super) inflight: u32,
     /// Since when an attempt is out without a word from the server.
     pub(super) quiet_since: Micros,
+    /// Connections that did not come up in time, since its last other outcome.
+    pub(super) unmet: u32,
     /// Part of its slots that it carries, as far as its answers tell.
     pub(super) share: f64,
     /// Answer time against its classes' norms, smoothed, and the answers since it last yielded.
@@ -41,8 +42,7 @@
     pub(super) trial: bool,
     /// While it is cold: attempts that this node may send it.
     pub(super) budget: f64,
-    /// Part of its latest answers that turned a request away, and the part of its cores that it last
-    /// reported in use.
+    /// Part of its latest answers that turned a request away, and of its cores in use by its last report.
     pub(super) turned: f64,
     pub(super) util: Option<f64>,
     /// How it does with each class: a bad release may fail one and serve the others.
@@ -64,10 +64,9 @@
         &mut self.health[class]
     }
 
-    /// Whether what it turns away is not for want of room: it limits its rate, or its front does, or it
-    /// turns away by chance. That never ran and goes on to the next owner for the price of a round trip,
-    /// while slots that it yielded would crowd the others. Hurts where reports are wrong or old: a full
-    /// server is then asked again and again. Without reports, full is full.
+    /// Whether what it turns away is not for want of room: it limits its rate, or turns away by chance. That
+    /// goes on to the next owner for a round trip, while slots that it yielded would crowd the others. Hurts
+    /// where reports are wrong or old. Without reports, full is full.
     pub(super) fn turns_away_idle(&self) -> bool {
         self.util.is_some_and(|util| util < IDLE)
     }
--- a/crates/decisions/src/brain/table.rs
+++ b/crates/decisions/src/brain/table.rs
@@ -13,7 +13,6 @@
 
 /// Builds the table over `(server, weight)` pairs; a slot holds the position of its owner in
 /// the pairs. The order of the pairs does not matter to who owns what.
-///
 /// Servers take turns in the order of their ids. A turn adds a server's size, as a part of the
 /// power of two above the largest, to its credit, and each whole credit claims a slot. The
 /// credit of one server does not depend on the others, so one change moves few slots.
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -53,20 +53,9 @@
     KindId(if name.is_empty() { 0 } else { xxhash_rust::xxh3::xxh3_64(name.as_bytes()) })
 }
 
-/// Numbers for the names of zones, given out as they are met.
-#[derive(Default)]
-pub struct Zones(HashMap<String, u32>);
-
-impl Zones {
-    /// The zone of this name.
-    pub fn id(&mut self, name: &str) -> ZoneId {
-        if let Some(&id) = self.0.get(name) {
-            return ZoneId(id);
-        }
-        let id = self.0.len() as u32;
-        self.0.insert(name.to_owned(), id);
-        ZoneId(id)
-    }
+/// The zone of this name.
+pub fn zone_of(name: &str) -> ZoneId {
+    ZoneId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
 }
 
 /// The state that discovery's word means.
@@ -172,6 +161,8 @@
         max_attempts: p.whole("bounds.max-attempts", 1)?.min(u64::from(u32::MAX)) as u32,
         retry_after: p.flag("bounds.retry-after"),
         max_retry_after: p.whole("bounds.max-retry-after", 0)?,
+        zone: p.text("locality").map(zone_of),
+        far_price: p.real("deductions.cross-zone", 0.0)?,
         handshake_price: p.real("deductions.handshake", 0.0)?,
         connection_price: p.real("deductions.connection", 0.0)?,
         start_capacity: p.real("rules.start-capacity", 1.0)?,
@@ -179,6 +170,7 @@
         fall_multiple: p.real("rules.fall-multiple", 1.0)?,
         ask_within: p.whole("rules.ask-within", 10_000_000)?,
         settle_after_doubt: p.whole("rules.settle-after-doubt", 0)?,
+        dial_timeout: p.whole("bounds.dial-timeout", 250_000)?,
         full_may_have_run: p.flag("rules.may-shed-begun"),
         util_field: p.text("report.fields").and_then(|fields| fields.split(',').position(|f| f == "util")),
     };
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -32,7 +32,7 @@
 pub fn member(server: u32) -> Member {
     Member {
         server: ServerId(server),
-        zone: ZoneId(server % 2),
+        zone: ZoneId(u64::from(server % 2)),
         kind: KindId::default(),
         cell: CellId(u64::from(server / 4)),
         state: ServerState::InService,
--- a/crates/node/src/hosted/directory.rs
+++ b/crates/node/src/hosted/directory.rs
@@ -732,6 +732,7 @@
         max_retry_after: LONGEST_ADVICE.as_micros() as u64,
         start_capacity: pool.start_capacity,
         ramp_time: micros(pool.ramp_ms),
+        dial_timeout: micros(pool.dial_timeout_ms),
         fall_multiple: pool.fall_multiple,
         util_field: pool.report.iter().position(|field| field == "util"),
         ..Settings::default()
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::time::{timeout_at, Instant};
-use woodgap_decisions::settings::{kind_of, Zones};
+use woodgap_decisions::settings::{kind_of, zone_of};
 use woodgap_decisions::{CellId, Member, Outcome, ServerId, ServerState, SyncKind};
 use woodgap_membership::{Transport, Trust};
 
@@ -68,7 +68,6 @@
     entries: RefCell<HashMap<ServerId, Entry>>,
     names: RefCell<HashMap<u32, String>>,
     epochs: Cell<u64>,
-    zones: RefCell<Zones>,
     #[cfg(feature = "hosted")]
     authorities: RefCell<std::sync::Arc<http3::Authorities>>,
 }
@@ -82,7 +81,6 @@
             entries: RefCell::default(),
             names: RefCell::default(),
             epochs: Cell::new(0),
-            zones: RefCell::default(),
             #[cfg(feature = "hosted")]
             authorities: RefCell::default(),
         });
@@ -96,7 +94,6 @@
     pub fn apply(&self, list: &List) -> (SyncKind, Vec<Member>) {
         let mut entries = self.entries.borrow_mut();
         let mut names = self.names.borrow_mut();
-        let mut zones = self.zones.borrow_mut();
         let mut members = Vec::with_capacity(list.entries.len());
         let mut in_service = Vec::new();
         for entry in &list.entries {
@@ -104,7 +101,7 @@
             let server = ServerId(number);
             members.push(Member {
                 server,
-                zone: zones.id(&entry.zone),
+                zone: zone_of(&entry.zone),
                 cell: CellId(entry.cell),
                 kind: kind_of(&entry.kind),
                 state: entry.state,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use wire::Fields;
-use woodgap_decisions::settings::{self, Fault, Pairs, Zones};
+use woodgap_decisions::settings::{self, Fault, Pairs};
 use woodgap_decisions::{Action, Balancer, Event, Member, Micros};
 
 /// One node: its module and how its words read on the wire.
@@ -23,7 +23,6 @@
 struct Host {
     instances: HashMap<u64, Instance>,
     pools: HashMap<u64, Rc<Vec<Member>>>,
-    zones: Zones,
     now: Micros,
     batch: u64,
     /// The instance that events go to.
@@ -78,7 +77,7 @@
                 for _ in 0..count {
                     let text =
                         input.next_line()?.ok_or_else(|| Fault::new("end of input inside a list".into()))?;
-                    members.push(wire::member(text, &mut self.zones)?);
+                    members.push(wire::member(text)?);
                 }
                 self.pools.insert(list, Rc::new(members));
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -11,7 +11,7 @@
     TenantId, TimerId,
 };
 
-use woodgap_decisions::settings::{finite, kind_of, number, server_state, Fault, Names, Zones};
+use woodgap_decisions::settings::{finite, kind_of, number, server_state, zone_of, Fault, Names};
 
 /// The parts of a line, taken from the left.
 pub struct Fields<'a> {
@@ -84,14 +84,14 @@
 }
 
 /// An `M` line.
-pub fn member(line: &str, zones: &mut Zones) -> Result<Member, Fault> {
+pub fn member(line: &str) -> Result<Member, Fault> {
     let mut f = Fields::new(line);
     match f.text("message")? {
         "M" => {}
         other => return Err(Fault::new(format!("'{other}' where a list entry is due"))),
     }
     let server = ServerId(f.number("server")?);
-    let zone = zones.id(f.part("campus")?.unwrap_or(""));
+    let zone = zone_of(f.part("campus")?.unwrap_or(""));
     let kind = kind_of(f.part("kind")?.unwrap_or(""));
     let cell = CellId(f.optional("cluster")?.unwrap_or(0));
     let state = f.text("state")?;
