Tests of the own zone: words that the linter asks for

Cause: clippy's manual_is_multiple_of is an error here, and near.rs had `% 2 == 0`. Change: is_multiple_of.

--- a/crates/decisions/tests/near.rs
+++ b/crates/decisions/tests/near.rs
@@ -15,7 +15,7 @@
     let (mut near, mut all) = (0, 0);
     for n in 0..800u64 {
         let server = node.place(n, 0, rng.u64(0..1 << 30));
-        let own = server.0 % 2 == 0;
+        let own = server.0.is_multiple_of(2);
         node.close_after(n, 0, server, Outcome::Ok, if own { 20_000 * slower } else { 20_000 });
         if n.is_multiple_of(2) {
             node.pass(100_000);
