--- a/crates/bookings/src/booking.rs
+++ b/crates/bookings/src/booking.rs
@@ -184,7 +184,8 @@
 
     /// What it wants of a group at a moment.
     pub(crate) fn wants(&self, group: &str, at: Micros) -> u32 {
-        self.parts.get(group).map_or(0, |slots| self.window.slots_at(*slots, at))
+        let near = self.window.from() <= at && at < self.window.until();
+        self.parts.get(group).filter(|_| near).map_or(0, |slots| self.window.slots_at(*slots, at))
     }
 
     /// All groups together.
--- a/crates/bookings/src/entitle.rs
+++ b/crates/bookings/src/entitle.rs
@@ -12,7 +12,7 @@
 use crate::book::Book;
 use crate::line::Line;
 use crate::short::share;
-use crate::when::{Interval, Micros};
+use crate::when::{Interval, Micros, Window};
 
 /// What leases have to divide of a group.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
@@ -122,7 +122,8 @@
     fn edges(&self, group: &str, after: Micros, before: Micros) -> BTreeSet<Micros> {
         let near = |at: &Micros| (after.saturating_add(1)..before).contains(at);
         let mut edges = BTreeSet::new();
-        let entitled = self.bookings().filter(|booking| booking.entitles());
+        let meets = |window: &Window| window.until() > after && window.from() < before;
+        let entitled = self.bookings().filter(|booking| meets(&booking.window) && booking.entitles());
         for step in entitled.filter_map(|booking| booking.steps(group)).flatten() {
             edges.extend([step.from, step.until].into_iter().filter(near));
         }
