--- a/crates/bookings/src/book.rs
+++ b/crates/bookings/src/book.rs
@@ -22,7 +22,7 @@
     /// The last number that was given, to a booking or as a place among the confirmed.
     pub last: u64,
     /// By their numbers.
-    pub bookings: Vec<Arc<Booking>>,
+    pub bookings: Arc<Vec<Arc<Booking>>>,
 }
 
 /// A group's lines.
@@ -81,7 +81,7 @@
     pub fn new(setup: Setup) -> Result<Book, Refusal> {
         let groups = setup.groups.into_iter().map(|(name, rule)| (name, Group { rule, ..Group::default() }));
         let (settings, groups) = (Arc::new(setup.settings), Arc::new(groups.collect()));
-        Book::of(Form { settings, groups, last: 0, bookings: Vec::new() })
+        Book::of(Form { settings, groups, last: 0, bookings: Arc::default() })
     }
 
     pub(crate) fn of(form: Form) -> Result<Book, Refusal> {
@@ -171,7 +171,7 @@
         let place = match self.place(booking.id) {
             Ok(place) if self.form.bookings[place].takes_like(&booking) => {
                 self.tally.count(&self.form.bookings[place], usize::sub);
-                self.form.bookings[place] = Arc::new(booking);
+                Arc::make_mut(&mut self.form.bookings)[place] = Arc::new(booking);
                 return;
             }
             Ok(place) => {
@@ -181,13 +181,13 @@
             Err(place) => place,
         };
         self.draw(&booking, Line::add);
-        self.form.bookings.insert(place, Arc::new(booking));
+        Arc::make_mut(&mut self.form.bookings).insert(place, Arc::new(booking));
     }
 
     /// Takes a booking out.
     pub(crate) fn remove(&mut self, id: u64) -> Option<Arc<Booking>> {
         let place = self.place(id).ok()?;
-        let booking = self.form.bookings.remove(place);
+        let booking = Arc::make_mut(&mut self.form.bookings).remove(place);
         self.draw(&booking, Line::sub);
         self.tally.count(&booking, usize::sub);
         Some(booking)
--- a/crates/bookings/tests/rules/capacity.rs
+++ b/crates/bookings/tests/rules/capacity.rs
@@ -75,6 +75,15 @@
     assert_eq!(harms(&book, &["x"], &out(By::Drain, 50, 101)), []);
     let four = ["a1", "a2", "b1", "b2"];
     assert_eq!(harms(&book, &four, &out(By::Drain, 50, 300)), [(Harm::Short, id, 20)]);
+    // What was short already is worse off by one more alone.
+    let mut hurt = dead(&["a1", "a2", "b1", "b2"], "silent");
+    let (worse, _) = book.settle(0, &hurt).unwrap();
+    assert_eq!(harms(&worse, &["c1"], &out(By::Drain, 50, 200)), [(Harm::Short, id, 10)]);
+    assert_eq!(harms(&worse, &["a1"], &out(By::Drain, 50, 200)), []);
+    // What is past is nobody's loss.
+    hurt.groups.get_mut("g").unwrap().values_mut().for_each(|seen| seen.dead = None);
+    let (healed, told) = worse.settle(150 * S, &hurt).unwrap();
+    assert_eq!((healed.booking(id).unwrap().short.as_ref(), told.len()), (None, 1));
     // By force.
     let mut forced = scene(&["g"]);
     let of_it = forced.groups.get_mut("g").unwrap();
--- a/crates/bookings/tests/rules/document.rs
+++ b/crates/bookings/tests/rules/document.rs
@@ -46,28 +46,32 @@
     assert_eq!((book.booking(kept), book.bookings().count()), (None, MOST_ENDED_A_TENANT));
 }
 
-#[test]
-fn a_full_book_takes_no_more_and_all_of_it_can_still_get_short() {
+/// Fills a book with bookings of tenants with names of this length, until one is refused.
+fn full(name: usize) -> (Book, Refusal) {
     let allowance = Allowance { bookings: 256, slots: 10_000, highest_rank: 0 };
     let mut book = with(Settings { allowance, ..settings() }, &[("g", PLAIN)]);
     let refusal = (0..).find_map(|n| {
-        let (tenant, at) = (format!("tenant{}", n / 200), 1_000 + n / 60 * 10);
-        match book.take(ask(&tenant, &format!("{n}"), 1, at, at + 10), 0) {
-            Ok((next, _)) => {
-                book = next;
-                None
-            }
-            Err(refusal) => Some(refusal),
-        }
+        let (tenant, at) = (format!("{:x<name$}", n / 200), 1_000 + n / 60 * 10);
+        let taken = book.take(ask(&tenant, &format!("{n}"), 1, at, at + 10), 0);
+        taken.map(|(next, _)| book = next).err()
     });
-    assert_eq!(refusal, Some(Refusal::BookFull));
-    let (short, told) =
-        book.settle(S, &dead(&["a1", "a2", "b1", "b2", "c1", "c2"], &"x".repeat(100))).unwrap();
-    assert_eq!(told.len(), MOST_BOOKINGS);
-    assert!(short.bookings().all(|booking| booking.state() == "short"));
-    let written = short.write();
-    assert!(written.len() <= MOST_BYTES, "{} bytes", written.len());
-    assert_eq!(Book::read(&written).as_ref(), Ok(&short));
+    (book, refusal.unwrap())
+}
+
+#[test]
+fn a_full_book_takes_no_more_and_all_of_it_can_still_get_short() {
+    for (name, by_count) in [(8, true), (100, false)] {
+        let (book, refusal) = full(name);
+        let many = book.bookings().count();
+        assert_eq!((refusal == Refusal::BookFull, many == MOST_BOOKINGS), (by_count, by_count));
+        assert!(by_count || matches!(refusal, Refusal::BookLong { .. }));
+        let all = ["a1", "a2", "b1", "b2", "c1", "c2"];
+        let (short, told) = book.settle(S, &dead(&all, &"x".repeat(100))).unwrap();
+        assert_eq!((told.len(), short.bookings().filter(|one| one.state() == "short").count()), (many, many));
+        let written = short.write();
+        assert!(written.len() <= MOST_BYTES, "{} bytes", written.len());
+        assert_eq!(Book::read(&written).as_ref(), Ok(&short));
+    }
 }
 
 #[test]
--- a/crates/bookings/tests/rules/short.rs
+++ b/crates/bookings/tests/rules/short.rs
@@ -79,3 +79,25 @@
     };
     assert_eq!([times(one), times(two)], [Some((1_000, 1_100, 40)), Some((1_100, 1_200, 40))]);
 }
+
+#[test]
+fn only_what_matters_is_told_and_what_is_past_is_over() {
+    let mut book = plain();
+    let id = taken(&mut book, ask("a", "1", 60, 3_000, 6_000), 0);
+    let short =
+        |book: &Book| book.booking(id).unwrap().short.clone().map(|s| (s.from / S, s.until / S, s.left));
+    let (book, told) = book.settle(500 * S, &dead(&["a1"], "silent")).unwrap();
+    assert_eq!((short(&book), told.len()), (Some((3_000, 4_100, 50)), 1));
+    // Still dead it is held away for longer; that alone is no news.
+    let (longer, told) = book.settle(2_400 * S, &dead(&["a1"], "silent")).unwrap();
+    assert_eq!((short(&longer), told.len()), (Some((3_000, 6_000, 50)), 0));
+    let (past, _) = book.settle(4_100 * S, &Scene::default()).unwrap();
+    assert_eq!(short(&past), None);
+    let mut planned = scene(&["g"]);
+    let out = |from, until| Out { from: from * S, until: until * S, by: By::Drain, why: "kernel".to_owned() };
+    planned.groups.get_mut("g").unwrap().get_mut("a1").unwrap().outs =
+        vec![out(3_100, 3_200), out(5_000, 5_100)];
+    let (twice, _) = past.settle(600 * S, &planned).unwrap();
+    assert_eq!(short(&twice), Some((3_100, 5_100, 50)));
+    assert_eq!(short(&twice.settle(3_500 * S, &Scene::default()).unwrap().0), Some((5_000, 5_100, 50)));
+}
