--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -92,6 +92,8 @@
 const ZOOKEEPER_DESCRIPTORS: usize = 16;
 /// For how long clients may remember that HTTP/3 is spoken here, in seconds.
 const ALT_SVC_S: u32 = 3_600;
+/// Ports that are asked for, at most, where any will do.
+const PORTS_TRIED: u32 = 16;
 /// How long a node waits at its start until the paths are read where its tenants' servers register.
 const READ_AT_START: Duration = Duration::from_secs(3);
 /// How long taking the node's registration off may take when it drains.
@@ -162,6 +164,23 @@
     Ok(Opened { address, tcp, quic, certificate })
 }
 
+/// Opens a door. One that takes any port (0) wants the same one for TCP and UDP: another process may have the one half of
+/// what the system gave, and another port is asked for.
+async fn open_free(listen: &Listen, memory: usize) -> Result<Opened, Box<dyn Error>> {
+    let mut left = PORTS_TRIED;
+    loop {
+        left -= 1;
+        match open(listen, memory).await {
+            Err(error) if left > 0 && listen.address.port() == 0 && is_taken(error.as_ref()) => {}
+            done => return done,
+        }
+    }
+}
+
+fn is_taken(error: &(dyn Error + 'static)) -> bool {
+    error.downcast_ref::<std::io::Error>().is_some_and(|error| error.kind() == std::io::ErrorKind::AddrInUse)
+}
+
 /// Serves until `stop` is done, then lets what was taken finish. Calls `ready` once it listens. `store` is used
 /// in place of the one that the configuration names, if there is one.
 ///
@@ -195,7 +214,7 @@
     let mut addresses = Addresses { listeners: Vec::new(), admin: None };
     let mut doors = Vec::new();
     for listen in &config.listen {
-        let door = open(listen, config.memory / connections).await;
+        let door = open_free(listen, config.memory / connections).await;
         let door = door.map_err(|e| format!("listen '{}' at {}: {e}", listen.name, listen.address))?;
         addresses.listeners.push((listen.name.clone(), door.address));
         doors.push(door);
