--- a/crates/leases/tests/simulated.rs
+++ b/crates/leases/tests/simulated.rs
@@ -107,7 +107,6 @@
 }
 
 #[test]
-#[ignore = "200 seeds: a minute or two"]
 fn no_fault_makes_anything_over_at_length() {
     (100..300).map(chaos).for_each(drop);
 }
