Take time-outs all over the fleet for a jam, not for servers that hang

Replayed: from 17 s on 60 % of the attempts timed out, 13 % of the last seconds' requests were served in time, 1.76 attempts a request went out.

Cause: seven in ten nodes are killed, the others get thrice the traffic. A node there meets each of 150 servers once in some seconds, so at each time-out its server has said nothing since: `hung` in brain/outcome.rs held for all of them, as few servers were ejected. A trial that logged what a node takes from its traffic read `failing 0.57, late 0.00, limit inf, served 24 of 114 sends` at 22.5 s. Ruled out: connections (`unlinked` 0.001), ejections (0.02), a cold fleet.

Change: a time-out counts as a server that hangs only while no more than a fifth of the attempts fail; that part is the one that ejections are held to already.

--- a/crates/decisions/src/brain/outcome.rs
+++ b/crates/decisions/src/brain/outcome.rs
@@ -4,7 +4,7 @@
 
 /// Fewer late answers than this part are no sign of more work than the fleet can do.
 pub(super) const LATE_PART: f64 = 0.15;
-/// With no more than this part of the fleet ejected, the others have room for its work.
+/// With no more than this part of the fleet out, and of the attempts failing, the others have room for that.
 pub(super) const FEW_OUT: f64 = 0.2;
 /// A server is ejected when this part of its latest attempts failed, and this many times the fleet's part.
 pub(super) const FAILING: f64 = 0.4;
@@ -78,7 +78,7 @@
         // An attempt that timed out was at least as slow as that. Where no word of its server came after
         // it and few servers are out, that one hangs: no sign of more work than the others can do.
         let silent = server.quiet_since + closed.spent <= self.now;
-        let hung = timed_out && silent && self.mood.ejected <= FEW_OUT;
+        let hung = timed_out && silent && self.mood.ejected.max(self.mood.failing) <= FEW_OUT;
         if answered || (timed_out && !lost) {
             late = !hung && (timed_out || closed.spent > self.settings.classes[class].aim);
             let sign = if hung { self.mood.late } else { f64::from(u8::from(late)) };
