Split the driver by job, and move what a pool tells of its servers below it

The driver held the loop, the requests, the messages and the watches in one file of 509 lines, and the servers imported a type of it, which made a circle of imports. Requests and attempts are in driver/held.rs, messages in driver/messages.rs, watches and lists in driver/lists.rs, and Look in upstream/look.rs, with the old paths kept. No behaviour changes.

--- /dev/null
+++ b/crates/node/src/pool/driver/held.rs
@@ -0,0 +1,175 @@
+//! Requests until they are answered, and their attempts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio_util::time::delay_queue;
+use woodgap_decisions::{Closed, Event, Micros, Outcome, Request, RequestId, ServerId};
+
+use super::{Answer, Answered, Arrival, Driver, Due, Msg};
+use crate::meter::metered;
+use crate::task::AbortOnDrop;
+use crate::upstream::exchange::Call;
+use crate::upstream::servers::Ended;
+
+/// The module answers at the deadline it was given; what it has not answered this much later, the
+/// node answers, whatever the module does.
+const OVERDUE: Duration = Duration::from_millis(5);
+
+/// An attempt that is out.
+pub(super) struct Out {
+    pub(super) server: ServerId,
+    pub(super) sent: Instant,
+    /// Ends the attempt and closes its connection.
+    pub(super) _task: AbortOnDrop,
+}
+
+/// A request until it is answered and nothing of it is out.
+pub(super) struct Held {
+    /// `None` once it has its answer or its client is gone.
+    pub(super) reply: Option<oneshot::Sender<Answered>>,
+    pub(super) call: Rc<Call>,
+    pub(super) deadline: Instant,
+    pub(super) overdue: delay_queue::Key,
+    pub(super) attempts: Vec<Option<Out>>,
+    /// The server of its latest attempt, or the one that answered.
+    pub(super) at: Option<ServerId>,
+}
+
+impl Driver {
+    pub(super) fn request(&mut self, arrival: Arrival) {
+        let Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply } = arrival;
+        let patience = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
+        let overdue = self.due.insert_at(Due::Overdue(id), deadline + OVERDUE);
+        let held = Held { reply: Some(reply), call, deadline, overdue, attempts: Vec::new(), at: None };
+        self.held.insert(id, held);
+        let id = request_id(id);
+        self.events.push_back(Event::Request(Request { id, patience, class, cost, repeat, tenant, key }));
+    }
+
+    /// Answers a request, unless it has its answer.
+    pub(super) fn answer(&mut self, id: u64, answer: Answer) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if let Some(reply) = held.reply.take() {
+            if !matches!(answer, Answer::Late) {
+                self.due.remove(&held.overdue);
+            }
+            let _ = reply.send((answer, held.at));
+        }
+        self.forget(id);
+    }
+
+    /// Its time is over and the module has not answered it.
+    pub(super) fn overdue(&mut self, id: u64) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(reply) = held.reply.take() else { return };
+        tracing::info!("a request was not answered by its deadline");
+        // What was never sent anywhere may be asked again without harm.
+        let answer = held.at.map_or(Answer::Refused(None), |_| Answer::Late);
+        let _ = reply.send((answer, held.at));
+        self.events.push_back(Event::Lapsed(request_id(id)));
+        // One with no attempt out ends here; nothing else would forget it.
+        self.forget(id);
+    }
+
+    /// Its client no longer waits.
+    pub(super) fn gone(&mut self, id: u64) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        if held.reply.take().is_some() {
+            self.due.remove(&held.overdue);
+            self.events.push_back(Event::Lapsed(request_id(id)));
+            self.forget(id);
+        }
+    }
+
+    /// Drops what is over.
+    pub(super) fn forget(&mut self, id: u64) {
+        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(Option::is_none);
+        if self.held.get(&id).is_some_and(over) {
+            self.held.remove(&id);
+        }
+    }
+
+    pub(super) fn closed(&mut self, id: u64, attempt: u32, ended: Ended) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        // One that was cancelled meanwhile has had its outcome.
+        let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let Ended { outcome, load, answer } = ended;
+        if let Some((headers, body)) = answer {
+            held.at = Some(out.server);
+            self.answer(id, Answer::Served(headers, body));
+        }
+        let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
+        let spent = out.sent.elapsed().as_micros() as Micros;
+        let (server, id_) = (out.server, request_id(id));
+        self.events.push_back(Event::Closed(Closed { id: id_, attempt, server, outcome, spent, done, load }));
+        self.forget(id);
+    }
+
+    pub(super) fn send(&mut self, id: u64, server: ServerId, limit: Micros) {
+        let now = Instant::now();
+        let held = self.held.get_mut(&id);
+        let attempt = held.as_ref().map_or(0, |held| held.attempts.len());
+        let lawful = held.filter(|h| h.reply.is_some() && attempt < self.max_attempts && now < h.deadline);
+        let Some(held) = lawful else {
+            // Nothing goes out for what is over.
+            let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
+            if let Some(held) = self.held.get_mut(&id) {
+                held.attempts.push(None);
+            }
+            let (id, attempt, outcome) = (request_id(id), attempt as u32, Outcome::Moot);
+            let closed = Closed { id, attempt, server, outcome, spent: 0, done, load: Vec::new() };
+            return self.events.push_back(Event::Closed(closed));
+        };
+        let until = match limit {
+            0 => held.deadline,
+            limit => held.deadline.min(now + Duration::from_micros(limit)),
+        };
+        let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.upgrade());
+        let attempt = attempt as u32;
+        let task = AbortOnDrop::spawn(metered(self.meter.clone(), async move {
+            let ended = servers.attempt(server, &call, until).await;
+            if let Some(tx) = tx {
+                let _ = tx.send(Msg::Closed { id, attempt, ended });
+            }
+        }));
+        held.attempts.push(Some(Out { server, sent: now, _task: task }));
+        held.at = Some(server);
+    }
+
+    pub(super) fn cancel(&mut self, id: u64, attempt: u32) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let spent = out.sent.elapsed().as_micros() as Micros;
+        let (server, done) = (out.server, held.reply.is_none());
+        drop(out);
+        // It may be silent because its machine is gone: see `Servers::attempt`.
+        self.servers.close_idle(server);
+        let (id_, outcome) = (request_id(id), Outcome::Cancelled);
+        self.events.push_back(Event::Closed(Closed {
+            id: id_,
+            attempt,
+            server,
+            outcome,
+            spent,
+            done,
+            load: Vec::new(),
+        }));
+        self.forget(id);
+    }
+}
+
+/// A request's number in the module's form, and back.
+pub(super) fn request_id(id: u64) -> RequestId {
+    let mut bytes = [0; 36];
+    bytes[..8].copy_from_slice(&id.to_le_bytes());
+    RequestId(bytes)
+}
+
+pub(super) fn number(id: &RequestId) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&id.0[..8]);
+    u64::from_le_bytes(bytes)
+}
--- a/crates/node/src/pool/driver/tests.rs
+++ b/crates/node/src/pool/driver/tests.rs
@@ -3,8 +3,12 @@
 use super::*;
 use crate::config::Figures;
 use crate::sockets::Sockets;
+use crate::upstream::exchange::Call;
+use bytes::Bytes;
+use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
-use woodgap_decisions::{Class, Semantics};
+use tokio::sync::oneshot;
+use woodgap_decisions::{Class, ClassId, Semantics};
 
 fn arrival(id: u64) -> (Arrival, oneshot::Receiver<Answered>) {
     let (reply, answer) = oneshot::channel();
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 pub mod exchange;
 #[cfg(feature = "hosted")]
 pub mod http3;
+pub mod look;
 pub mod servers;
 #[cfg(feature = "hosted")]
 pub mod trust;
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -17,12 +17,12 @@
 
 use crate::config::Figures;
 use crate::meter::Meter;
-use crate::pool::driver::Look;
 use crate::sockets::Sockets;
 use crate::sources::discovery::{server_number, List};
 use crate::upstream::exchange::{load, outcome, request, Call, Exchange, Link, SETTLE};
 #[cfg(feature = "hosted")]
 use crate::upstream::http3;
+use crate::upstream::look::Look;
 
 /// Connections are reused for this part of the time that servers keep them: a request that meets
 /// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
