Ask in the writing turn whether a request may still go to its server

Seen: an attempt handed its request to the library's connection task after its checks, and the task wrote it turns later. A client that left, a server that went or a second answer that came in between made no difference: the request was written, and a stray answer was served as its own. Word of a client that left could wait in the driver's queue behind what began an attempt. At fault: Servers::attempt (checks before try_send_request, none for the client), Driver::send (looked at the driver's state, not at the client's channel).

Change: the socket asks before the first byte (upstream/wire.rs): client there and unanswered, time left, server the one dialled and not barred, connection quiet. What never began is known from the socket, not from the library's error, so a connection that ends just then leaves an unsafe request free to go on another. An answer before the last byte of its request ends the connection: it was kept, and the rest of the request followed. The place of a descriptor is given back with the socket; it was given back when the server ended the connection. Files are split by job: the list, kept connections, attempts, the socket, tests.

--- a/crates/node/src/pool/driver/held.rs
+++ b/crates/node/src/pool/driver/held.rs
@@ -1,5 +1,6 @@
 //! Requests until they are answered, and their attempts.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use super::{Answer, Answered, Arrival, Driver, Due, Msg};
 use crate::meter::metered;
 use crate::task::AbortOnDrop;
+use crate::upstream::attempt::Awaited;
 use crate::upstream::exchange::Call;
 use crate::upstream::servers::Ended;
 
@@ -26,10 +28,39 @@
     pub(super) _task: AbortOnDrop,
 }
 
+/// Who waits for a request's answer. Its attempts look at it in the turn in which they write: the word that the client
+/// has left may still wait among the driver's messages.
+pub(super) struct Reply(RefCell<Option<oneshot::Sender<Answered>>>);
+
+impl Reply {
+    pub(super) fn new(reply: oneshot::Sender<Answered>) -> Rc<Self> {
+        Rc::new(Reply(RefCell::new(Some(reply))))
+    }
+
+    /// Whether the request has no answer yet and its client is there.
+    pub(super) fn is_awaited(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|reply| !reply.is_closed())
+    }
+
+    /// Whether its client has left and the driver was not told yet.
+    pub(super) fn has_left(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(oneshot::Sender::is_closed)
+    }
+
+    /// Whether it had its answer, or the driver was told that its client has left.
+    pub(super) fn is_over(&self) -> bool {
+        self.0.borrow().is_none()
+    }
+
+    /// To be used for the one answer.
+    pub(super) fn take(&self) -> Option<oneshot::Sender<Answered>> {
+        self.0.take()
+    }
+}
+
 /// A request until it is answered and nothing of it is out.
 pub(super) struct Held {
-    /// `None` once it has its answer or its client is gone.
-    pub(super) reply: Option<oneshot::Sender<Answered>>,
+    pub(super) reply: Rc<Reply>,
     pub(super) call: Rc<Call>,
     pub(super) deadline: Instant,
     pub(super) overdue: delay_queue::Key,
@@ -40,10 +71,14 @@
 
 impl Driver {
     pub(super) fn request(&mut self, arrival: Arrival) {
+        // Its client left while it waited to be read.
+        if arrival.reply.is_closed() {
+            return;
+        }
         let Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply } = arrival;
         let patience = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let overdue = self.due.insert_at(Due::Overdue(id), deadline + OVERDUE);
-        let held = Held { reply: Some(reply), call, deadline, overdue, attempts: Vec::new(), at: None };
+        let held = Held { reply: Reply::new(reply), call, deadline, overdue, attempts: Vec::new(), at: None };
         self.held.insert(id, held);
         let id = request_id(id);
         self.events.push_back(Event::Request(Request { id, patience, class, cost, repeat, tenant, key }));
@@ -84,9 +119,16 @@
         }
     }
 
+    /// Takes a client that has left for gone before the word of it is read: it may wait behind what is decided now.
+    fn look_for_client(&mut self, id: u64) {
+        if self.held.get(&id).is_some_and(|held| held.reply.has_left()) {
+            self.gone(id);
+        }
+    }
+
     /// Drops what is over.
     pub(super) fn forget(&mut self, id: u64) {
-        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(Option::is_none);
+        let over = |held: &Held| held.reply.is_over() && held.attempts.iter().all(Option::is_none);
         if self.held.get(&id).is_some_and(over) {
             self.held.remove(&id);
         }
@@ -101,7 +143,8 @@
             held.at = Some(out.server);
             self.answer(id, Answer::Served(headers, body));
         }
-        let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
+        self.look_for_client(id);
+        let done = self.held.get(&id).is_none_or(|held| held.reply.is_over());
         let spent = out.sent.elapsed().as_micros() as Micros;
         let (server, id_) = (out.server, request_id(id));
         self.events.push_back(Event::Closed(Closed { id: id_, attempt, server, outcome, spent, done, load }));
@@ -112,13 +155,14 @@
         let now = Instant::now();
         let held = self.held.get_mut(&id);
         let attempt = held.as_ref().map_or(0, |held| held.attempts.len());
-        let lawful = held.filter(|h| h.reply.is_some() && attempt < self.max_attempts && now < h.deadline);
+        let lawful = held.filter(|h| h.reply.is_awaited() && attempt < self.max_attempts && now < h.deadline);
         let Some(held) = lawful else {
             // Nothing goes out for what is over.
-            let done = self.held.get(&id).is_none_or(|held| held.reply.is_none());
             if let Some(held) = self.held.get_mut(&id) {
                 held.attempts.push(None);
             }
+            self.look_for_client(id);
+            let done = self.held.get(&id).is_none_or(|held| held.reply.is_over());
             let (id, attempt, outcome) = (request_id(id), attempt as u32, Outcome::Moot);
             let closed = Closed { id, attempt, server, outcome, spent: 0, done, load: Vec::new() };
             return self.events.push_back(Event::Closed(closed));
@@ -128,9 +172,10 @@
             limit => held.deadline.min(now + Duration::from_micros(limit)),
         };
         let (servers, call, tx) = (self.servers.clone(), held.call.clone(), self.tx.upgrade());
-        let attempt = attempt as u32;
+        let (attempt, reply) = (attempt as u32, held.reply.clone());
+        let awaited: Awaited = Rc::new(move || reply.is_awaited());
         let task = AbortOnDrop::spawn(metered(self.meter.clone(), async move {
-            let ended = servers.attempt(server, &call, until).await;
+            let ended = servers.attempt(server, &call, until, &awaited).await;
             if let Some(tx) = tx {
                 let _ = tx.send(Msg::Closed { id, attempt, ended });
             }
@@ -143,7 +188,7 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(out) = held.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let spent = out.sent.elapsed().as_micros() as Micros;
-        let (server, done) = (out.server, held.reply.is_none());
+        let (server, done) = (out.server, held.reply.is_over());
         drop(out);
         // It may be silent because its machine is gone: see `Servers::attempt`.
         self.servers.close_idle(server);
--- a/crates/node/src/pool/driver/tests.rs
+++ b/crates/node/src/pool/driver/tests.rs
@@ -3,12 +3,14 @@
 use super::*;
 use crate::config::Figures;
 use crate::sockets::Sockets;
+use crate::sources::discovery::Entry;
 use crate::upstream::exchange::Call;
 use bytes::Bytes;
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::sync::oneshot;
-use woodgap_decisions::{Class, ClassId, Semantics};
+use woodgap_decisions::{Class, ClassId, Semantics, ServerState};
+use woodgap_membership::Transport;
 
 fn arrival(id: u64) -> (Arrival, oneshot::Receiver<Answered>) {
     let (reply, answer) = oneshot::channel();
@@ -19,24 +21,46 @@
     (Arrival { id, class, tenant, key, repeat, cost, deadline, call, reply }, answer)
 }
 
-// Past its time the node answers for the module: refused what never went out, failed what may have run.
-#[tokio::test]
-async fn what_is_overdue_is_refused_if_it_was_never_sent() {
+fn driver(tx: &mpsc::UnboundedSender<Msg>) -> Driver {
     let second = Duration::from_secs(1);
     let figures =
         Figures { dial_timeout: second, keepalive: second, drain_grace: second, open_cap: 1, report: vec![] };
     let class = Class {
         aim: 1,
-        deadline: 1,
+        deadline: 20_000_000,
         points: 1.0,
         late_share: 0.0,
         semantics: Semantics::Unsafe,
         in_order: false,
     };
     let settings = Settings { classes: vec![class], ..Settings::default() };
-    let (tx, _rx) = mpsc::unbounded_channel();
     let servers = Servers::new(figures, Sockets::new(1), None);
-    let mut driver = Driver::new(&settings, 1, None, servers, None, &tx, None);
+    Driver::new(&settings, 1, None, servers, None, tx, None)
+}
+
+/// A driver that knows a server.
+fn one_server(tx: &mpsc::UnboundedSender<Msg>) -> Driver {
+    let entry = Entry {
+        id: "s-1".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 9)),
+        transport: Transport::Http1,
+        zone: "a".into(),
+        cell: 0,
+        kind: String::new(),
+        state: ServerState::InService,
+        size: 1.0,
+        up_since_ms: 0,
+    };
+    let mut driver = driver(tx);
+    driver.start(&List { revision: None, complete: true, entries: vec![entry] });
+    driver
+}
+
+// Past its time the node answers for the module: refused what never went out, failed what may have run.
+#[tokio::test]
+async fn what_is_overdue_is_refused_if_it_was_never_sent() {
+    let (tx, _rx) = mpsc::unbounded_channel();
+    let mut driver = driver(&tx);
     for (id, sent_to) in [(1, None), (2, Some(ServerId(7)))] {
         let (arrival, mut answer) = arrival(id);
         driver.request(arrival);
@@ -49,3 +73,33 @@
         }
     }
 }
+
+// A client may leave while what is decided for it, or its request itself, is still in the queue; the word of that comes
+// last. Nothing goes out for it meanwhile.
+#[tokio::test]
+async fn what_is_decided_for_a_client_that_has_left_is_not_sent() {
+    let run = async {
+        let (tx, _rx) = mpsc::unbounded_channel();
+        let mut driver = one_server(&tx);
+        for seen in [false, true] {
+            let (mut arrival, answer) = arrival(1);
+            arrival.deadline += Duration::from_secs(20);
+            if seen {
+                driver.request(arrival);
+                drop(answer);
+            } else {
+                drop(answer);
+                driver.request(arrival);
+            }
+            driver.settle();
+            assert!(driver.held.is_empty(), "seen {seen}");
+        }
+        // One that stays is sent on.
+        let (mut arrival, _answer) = arrival(2);
+        arrival.deadline += Duration::from_secs(20);
+        driver.request(arrival);
+        driver.settle();
+        assert!(driver.held[&2].attempts[0].is_some());
+    };
+    tokio::task::LocalSet::new().run_until(run).await;
+}
--- /dev/null
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -0,0 +1,171 @@
+//! What comes between two steps of an attempt: each test stops it there, lets the thing come, and lets it go on.
+
+use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use tokio::task::LocalSet;
+use woodgap_decisions::ServerState;
+
+use super::*;
+use crate::upstream::exchange::SETTLE;
+use crate::upstream::servers::tests::{call, list, servers, soon, waits};
+
+/// A server whose connections the test itself accepts.
+struct Scripted {
+    listener: TcpListener,
+    servers: Rc<Servers>,
+    id: ServerId,
+}
+
+impl Scripted {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let servers = servers(8);
+        let list = list(listener.local_addr().unwrap(), ServerState::InService, true);
+        let id = servers.apply(&list).1[0].server;
+        Scripted { listener, servers, id }
+    }
+
+    /// Keeps a connection that has rested; the server's end of it.
+    async fn rested(&self) -> TcpStream {
+        let (addr, epoch) = self.servers.address(self.id).unwrap();
+        let mut link = self.servers.dial(addr, epoch).await.unwrap();
+        link.ready().await.unwrap();
+        let far = self.listener.accept().unwrap().0;
+        self.servers.keep(self.id, link);
+        tokio::time::sleep(SETTLE * 2).await;
+        far
+    }
+
+    fn terminate(&self) {
+        let addr = self.listener.local_addr().unwrap();
+        self.servers.apply(&list(addr, ServerState::Terminated, false));
+    }
+}
+
+/// All that comes on a connection up to its end.
+async fn all_of(far: TcpStream) -> String {
+    far.set_nonblocking(true).unwrap();
+    let mut far = tokio::net::TcpStream::from_std(far).unwrap();
+    let mut text = Vec::new();
+    let _ = tokio::io::AsyncReadExt::read_to_end(&mut far, &mut text).await;
+    String::from_utf8(text).unwrap()
+}
+
+/// One turn of a future and of nothing else.
+async fn one_turn<F: Future>(future: &mut Pin<Box<F>>) {
+    poll_fn(|cx| {
+        assert!(future.as_mut().poll(cx).is_pending());
+        Poll::Ready(())
+    })
+    .await
+}
+
+fn client() -> (Rc<Cell<bool>>, Awaited) {
+    let here = Rc::new(Cell::new(true));
+    let seen = here.clone();
+    (here, Rc::new(move || seen.get()))
+}
+
+// The request is with the connection's task, which has not had its turn.
+#[tokio::test]
+async fn a_client_that_leaves_before_the_writing_turn_is_not_sent_on() {
+    let run = async {
+        let scripted = Scripted::new();
+        let far = scripted.rested().await;
+        let ((here, awaited), call) = (client(), call());
+        let mut attempt = Box::pin(scripted.servers.attempt(scripted.id, &call, soon(), &awaited));
+        one_turn(&mut attempt).await;
+        here.set(false);
+        assert_eq!(attempt.await.outcome, Outcome::Moot);
+        assert_eq!(all_of(far).await, "");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_during_the_dial_is_not_sent_on() {
+    let run = async {
+        let scripted = Scripted::new();
+        let ((here, awaited), call) = (client(), call());
+        let mut attempt = Box::pin(scripted.servers.attempt(scripted.id, &call, soon(), &awaited));
+        one_turn(&mut attempt).await;
+        let far = scripted.listener.accept().unwrap().0;
+        here.set(false);
+        assert_eq!(attempt.await.outcome, Outcome::Moot);
+        // The connection is as good as new.
+        assert_eq!(scripted.servers.idle_count(), 1);
+        scripted.servers.close_idle(scripted.id);
+        assert_eq!(all_of(far).await, "");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+// Rule 3 holds for the first byte, not for when the request was handed to the connection's task.
+#[tokio::test]
+async fn a_server_that_goes_before_the_writing_turn_is_sent_nothing() {
+    let run = async {
+        let scripted = Scripted::new();
+        let far = scripted.rested().await;
+        let (awaited, call) = (waits(), call());
+        let mut attempt = Box::pin(scripted.servers.attempt(scripted.id, &call, soon(), &awaited));
+        one_turn(&mut attempt).await;
+        scripted.terminate();
+        assert_eq!(attempt.await.outcome, Outcome::ConnectFailed);
+        assert_eq!(all_of(far).await, "");
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+// A second answer to an earlier request, after the look at the connection and before the write.
+#[tokio::test]
+async fn what_comes_before_the_writing_turn_is_not_taken_for_the_answer() {
+    let run = async {
+        let scripted = Scripted::new();
+        let mut far = scripted.rested().await;
+        let (awaited, call) = (waits(), call());
+        let mut attempt = Box::pin(scripted.servers.attempt(scripted.id, &call, soon(), &awaited));
+        one_turn(&mut attempt).await;
+        far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong").unwrap();
+        let listener = scripted.listener.try_clone().unwrap();
+        let server = std::thread::spawn(move || {
+            let mut stream = listener.accept().unwrap().0;
+            stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+            std::io::Read::read(&mut stream, &mut [0; 4096]).unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright").unwrap();
+            stream
+        });
+        let ended = attempt.await;
+        assert_eq!(ended.answer.expect("an answer").1, "right");
+        assert_eq!(all_of(far).await, "");
+        drop(server.join().unwrap());
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+// The server ends the connection at that instant: nothing was written, so an unsafe request may go on another.
+#[tokio::test]
+async fn a_connection_that_ends_before_the_writing_turn_proves_that_nothing_ran() {
+    let run = async {
+        for reset in [false, true] {
+            let scripted = Scripted::new();
+            let far = scripted.rested().await;
+            let (awaited, call) = (waits(), call());
+            let mut attempt = Box::pin(scripted.servers.attempt(scripted.id, &call, soon(), &awaited));
+            one_turn(&mut attempt).await;
+            if reset {
+                socket2::SockRef::from(&far).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            drop(far);
+            // No other connection comes up.
+            scripted.terminate();
+            assert_eq!(attempt.await.outcome, Outcome::ConnectFailed, "reset {reset}");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -1,13 +1,9 @@
 //! One connection to a server, one request on it, and what its answer proves.
 
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -17,14 +13,13 @@
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 use woodgap_decisions::Outcome;
 
 use crate::meter::{metered, Meter};
 use crate::task::{AbortOnDrop, Permit};
+use crate::upstream::wire::{Leave, Socket, Wire};
 
 /// The longest body of a request or an answer.
 pub const LONGEST_BODY: usize = 64 * 1024;
@@ -46,80 +41,6 @@
     pub body: Bytes,
 }
 
-/// A socket that the library's connection reads and the node looks at before it is used again.
-struct Wire {
-    stream: TcpStream,
-    /// Bytes that may still come; none while no request is out.
-    left: Cell<usize>,
-    /// Whether anything came since the request was written.
-    heard: Cell<bool>,
-}
-
-struct Socket(Rc<Wire>);
-
-impl AsyncRead for Socket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let wire = &self.0;
-        loop {
-            ready!(wire.stream.poll_read_ready(cx))?;
-            match wire.stream.try_read(buf.initialize_unfilled()) {
-                Ok(count) => {
-                    let left = wire.left.get().checked_sub(count);
-                    let left = left.ok_or_else(|| io::Error::other("more than an answer may have"))?;
-                    wire.left.set(left);
-                    wire.heard.set(wire.heard.get() || count > 0);
-                    buf.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-}
-
-impl Socket {
-    fn write(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write(data))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(parts))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
-    }
-}
-
 /// A connection to a server. Closed when dropped.
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
@@ -154,7 +75,7 @@
     ) -> io::Result<Link> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire { stream, left: Cell::new(0), heard: Cell::new(false) });
+        let wire = Wire::new(stream, permit);
         let (sender, connection) = http1::Builder::new()
             .max_headers(64)
             .max_buf_size(LONGEST_HEAD)
@@ -162,7 +83,6 @@
             .await
             .map_err(io::Error::other)?;
         let connection = AbortOnDrop::spawn(metered(meter, async move {
-            let _permit = permit;
             let _ = connection.await;
         }));
         Ok(Link { sender, wire, _connection: connection, epoch, idle_since: Instant::now() })
@@ -172,35 +92,47 @@
         self.sender.is_closed()
     }
 
-    /// Whether it is open and nothing came on it unasked. Asks the system: what the runtime knows of
-    /// the socket may be older than a second copy that waits on it.
+    /// Whether it is open and nothing came on it unasked.
     pub fn is_clean(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let nothing = SockRef::from(&self.wire.stream).peek(&mut byte);
-        !self.is_closed() && nothing.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        !self.is_closed() && self.wire.is_quiet()
+    }
+
+    /// Whether the request that waits on it has not gone out, not one byte of it.
+    pub fn is_unsent(&self) -> bool {
+        self.wire.is_unsent()
     }
 
     /// Whether anything came back for the request that was written last.
     pub fn heard(&self) -> bool {
-        self.wire.heard.get()
+        self.wire.heard()
     }
 
     pub async fn ready(&mut self) -> hyper::Result<()> {
         self.sender.ready().await
     }
 
-    pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Exchange {
-        self.wire.left.set(LONGEST_ANSWER);
-        self.wire.heard.set(false);
-        let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
-            // Only a message that comes back is certain not to have gone out.
-            Err(error) if error.message().is_some() => return Exchange::Unsent,
-            Err(_) => return Exchange::Broken,
+    /// Sends a request, if it has leave when its first byte is written.
+    pub async fn exchange(&mut self, request: Request<Full<Bytes>>, leave: Leave) -> Exchange {
+        self.wire.begin(LONGEST_ANSWER, leave);
+        let response = self.sender.try_send_request(request).await;
+        // Only the socket knows what went out: one that the library failed with may be partly written.
+        let unsent = self.wire.is_unsent();
+        let whole = match response {
+            Ok(response) => whole(response).await,
+            Err(_) => None,
         };
-        let whole = whole(response).await;
-        self.wire.left.set(0);
-        whole.unwrap_or(Exchange::Broken)
+        let flushed = self.wire.is_flushed();
+        self.wire.end();
+        match whole {
+            _ if unsent => Exchange::Unsent,
+            // A server begins a request with its last byte: nothing was served before that.
+            Some(Exchange::Answer { status: StatusCode::OK, .. }) if !flushed => Exchange::Broken,
+            // The rest of the request must not follow when it may already be out elsewhere.
+            Some(Exchange::Answer { status, headers, body, reusable }) => {
+                Exchange::Answer { status, headers, body, reusable: reusable && flushed }
+            }
+            _ => Exchange::Broken,
+        }
     }
 }
 
@@ -276,38 +208,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_the_header_proves_that_a_request_was_turned_away() {
-        let mut headers = HeaderMap::new();
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Error);
-        headers.insert("x-turned-away", HeaderValue::from_static("1"));
-        assert_eq!(outcome(StatusCode::SERVICE_UNAVAILABLE, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::GATEWAY_TIMEOUT, &headers), Outcome::Full);
-        assert_eq!(outcome(StatusCode::INTERNAL_SERVER_ERROR, &headers), Outcome::Error);
-        assert_eq!(outcome(StatusCode::OK, &headers), Outcome::Ok);
-    }
-
-    #[test]
-    fn a_report_is_read_whole_or_not_at_all() {
-        let fields = ["queue".to_owned(), "util".to_owned()];
-        let read = |text: &'static str| {
-            let mut headers = HeaderMap::new();
-            headers.insert("x-pressure", HeaderValue::from_static(text));
-            load(&headers, &fields)
-        };
-        assert_eq!(read(r#"{"util":0.5,"queue":3,"more":1}"#), [3.0, 0.5]);
-        for odd in [
-            r#"{"queue":3}"#,
-            r#"{"queue":3,"util":-1}"#,
-            r#"{"queue":3,"util":1e99}"#,
-            r#"{"queue":3,"util":NaN}"#,
-            r#"{"queue":3,"util":0."#,
-            "[3,0.5]",
-        ] {
-            assert!(read(odd).is_empty(), "{odd}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/node/src/upstream/idle.rs
@@ -0,0 +1,78 @@
+//! Connections that are kept open to servers with nothing on them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use woodgap_decisions::ServerId;
+
+use crate::upstream::exchange::{Link, SETTLE};
+use crate::upstream::servers::Servers;
+
+/// Connections are reused for this part of the time that servers keep them: a request that meets
+/// the server's close on its way ends as a reset, and an unsafe one can't be sent again.
+const REUSE: f64 = 0.6;
+
+/// How often `Servers::tidy` is due.
+pub const TIDY: Duration = Duration::from_millis(500);
+
+impl Servers {
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&self, server: ServerId) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&server) {
+            entry.idle.clear();
+        }
+    }
+
+    /// Closes what has been idle for long or was closed by its server. To be called now and then.
+    pub fn tidy(&self) {
+        let longest = self.figures.keepalive.mul_f64(REUSE);
+        for entry in self.entries.borrow_mut().values_mut() {
+            entry.idle.retain(|link| !link.is_closed() && link.idle_since.elapsed() < longest);
+            #[cfg(feature = "hosted")]
+            entry.shared.tidy(longest);
+        }
+    }
+
+    /// Closes the connection that has been idle for longest; `false` if there is none.
+    pub fn evict(&self) -> bool {
+        let mut entries = self.entries.borrow_mut();
+        let oldest = entries.values_mut().filter(|e| !e.idle.is_empty()).min_by_key(|e| e.idle[0].idle_since);
+        oldest.map(|entry| drop(entry.idle.remove(0))).is_some()
+    }
+
+    /// The connection used last of those that have rested and nothing came on.
+    pub(super) fn idle_link(&self, server: ServerId) -> Option<Link> {
+        let longest = self.figures.keepalive.mul_f64(REUSE);
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.get_mut(&server)?;
+        while let Some(place) = entry.idle.iter().rposition(|link| link.idle_since.elapsed() >= SETTLE) {
+            let link = entry.idle.remove(place);
+            if link.is_clean() && link.idle_since.elapsed() < longest {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    pub(super) fn keep(&self, server: ServerId, mut link: Link) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&server) else { return };
+        let wanted = entry.barred.is_none() && !entry.replaced;
+        if entry.epoch == link.epoch && wanted && !link.is_closed() {
+            link.idle_since = Instant::now();
+            entry.idle.push(link);
+        }
+    }
+
+    /// How many connections are open with nothing on them.
+    pub fn idle_count(&self) -> usize {
+        self.entries.borrow().values().map(|entry| entry.idle.len()).sum()
+    }
+
+    pub(super) async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<Link> {
+        let permit = self.sockets.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
+        Link::dial(addr, epoch, permit, self.meter.clone()).await
+    }
+}
