Blame no server for a descriptor that the node does not have

Clients take at most 0.6 of the descriptors, so attempts always have some; past their own part a dial failed at once and was told to the module as a refused connection, for which it ejects a server that holds nothing of the node's (Balancer::observe, dead).

--- a/crates/node/src/pool/driver/tests.rs
+++ b/crates/node/src/pool/driver/tests.rs
@@ -103,3 +103,27 @@
     };
     tokio::task::LocalSet::new().run_until(run).await;
 }
+
+// The module's answer, the node's own and the client's leaving, in every order: the first that comes is the only one.
+#[tokio::test]
+async fn a_request_is_answered_once_whatever_comes_first() {
+    let (tx, _rx) = mpsc::unbounded_channel();
+    let steps: [fn(&mut Driver); 3] = [
+        |driver| driver.answer(1, Answer::Failed),
+        |driver| driver.fall_due(Due::Overdue(1)),
+        |driver| driver.take(Msg::Gone(1)),
+    ];
+    for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
+        let mut driver = driver(&tx);
+        let (arrival, mut answer) = arrival(1);
+        driver.request(arrival);
+        order.iter().for_each(|&step| steps[step](&mut driver));
+        let told = answer.try_recv().ok().map(|(answer, _)| answer);
+        match order[0] {
+            0 => assert!(matches!(told, Some(Answer::Failed))),
+            1 => assert!(matches!(told, Some(Answer::Refused(None)))),
+            _ => assert!(told.is_none()),
+        }
+        assert!(driver.held.is_empty(), "{order:?}");
+    }
+}
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -123,7 +123,10 @@
                 return Outcome::Moot.into();
             }
             let Some((addr, epoch)) = self.address(server) else { break };
-            let Some((mut link, reused)) = self.link(server, addr, epoch, until).await else { break };
+            let (mut link, reused) = match self.link(server, addr, epoch, until).await {
+                Ok(link) => link,
+                Err(outcome) => return outcome.into(),
+            };
             if !matches!(timeout_at(until, link.ready()).await, Ok(Ok(()))) {
                 if reused {
                     continue;
@@ -176,13 +179,13 @@
         addr: SocketAddr,
         epoch: u64,
         until: Instant,
-    ) -> Option<(Link, bool)> {
+    ) -> Result<(Link, bool), Outcome> {
         if let Some(link) = self.idle_link(server) {
-            return Some((link, true));
+            return Ok((link, true));
         }
         let connected = until.min(Instant::now() + self.figures.dial_timeout);
         let dialled = timeout_at(connected, self.dial(addr, epoch)).await;
-        dialled.ok()?.ok().map(|link| (link, false))
+        dialled.unwrap_or(Err(Outcome::ConnectFailed)).map(|link| (link, false))
     }
 
     /// Whether a request may still go to a server as it was when its connection was opened.
--- a/crates/node/src/upstream/idle.rs
+++ b/crates/node/src/upstream/idle.rs
@@ -1,11 +1,10 @@
 //! Connections that are kept open to servers with nothing on them.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use woodgap_decisions::ServerId;
+use woodgap_decisions::{Outcome, ServerId};
 
 use crate::upstream::exchange::{Link, SETTLE};
 use crate::upstream::servers::Servers;
@@ -71,8 +70,9 @@
         self.entries.borrow().values().map(|entry| entry.idle.len()).sum()
     }
 
-    pub(super) async fn dial(&self, addr: SocketAddr, epoch: u64) -> io::Result<Link> {
-        let permit = self.sockets.permit().await.ok_or_else(|| io::Error::other("no socket is free"))?;
-        Link::dial(addr, epoch, permit, self.meter.clone()).await
+    /// A new connection. Where no descriptor is free for it that says nothing of the server.
+    pub(super) async fn dial(&self, addr: SocketAddr, epoch: u64) -> Result<Link, Outcome> {
+        let permit = self.sockets.permit().await.ok_or(Outcome::Moot)?;
+        Link::dial(addr, epoch, permit, self.meter.clone()).await.map_err(|_| Outcome::ConnectFailed)
     }
 }
