Keep a connection that is put back unused as old as it is

An attempt whose time or client is gone once its connection is had puts it back. Servers::keep set its age to nothing then, while its server counts from the last request: after two such turns it could be written to past the time at which servers close idle connections, and end as a reset. The age is set where a request ends (Link::exchange).

--- a/crates/node/src/upstream/attempt/tests.rs
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -169,3 +169,18 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+// Its server counts from the last request: a connection that is taken and put back with nothing written grows no younger.
+#[tokio::test]
+async fn a_connection_put_back_unused_keeps_its_age() {
+    let run = async {
+        let scripted = Scripted::new();
+        let _far = scripted.rested().await;
+        let since = || scripted.servers.entries.borrow()[&scripted.id].idle[0].idle_since;
+        let before = since();
+        let ended = scripted.servers.attempt(scripted.id, &call(), Instant::now(), &waits()).await;
+        assert_eq!(ended.outcome, Outcome::ConnectFailed);
+        assert_eq!(since(), before);
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -48,6 +48,7 @@
     _connection: AbortOnDrop,
     /// The server's epoch when it was opened.
     pub epoch: u64,
+    /// Since when nothing is on it.
     pub idle_since: Instant,
 }
 
@@ -123,6 +124,7 @@
         };
         let flushed = self.wire.is_flushed();
         self.wire.end();
+        self.idle_since = Instant::now();
         match whole {
             _ if unsent => Exchange::Unsent,
             // A server begins a request with its last byte: nothing was served before that.
--- a/crates/node/src/upstream/idle.rs
+++ b/crates/node/src/upstream/idle.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::Instant;
 use woodgap_decisions::{Outcome, ServerId};
 
 use crate::upstream::exchange::{Link, SETTLE};
@@ -55,13 +54,14 @@
         None
     }
 
-    pub(super) fn keep(&self, server: ServerId, mut link: Link) {
+    /// Keeps a connection, with the age that it has: its server counts from the last request too.
+    pub(super) fn keep(&self, server: ServerId, link: Link) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&server) else { return };
         let wanted = entry.barred.is_none() && !entry.replaced;
         if entry.epoch == link.epoch && wanted && !link.is_closed() {
-            link.idle_since = Instant::now();
-            entry.idle.push(link);
+            let place = entry.idle.partition_point(|other| other.idle_since <= link.idle_since);
+            entry.idle.insert(place, link);
         }
     }
 
