Split what client connections share by job: places, one request's way, the shutdown

It keeps what is shared; places.rs settles who gets a place and who gives way, call.rs takes one request from its head to its answer, shutdown.rs goes from SIGTERM to the end of the process. Code is moved, not changed; only visibility within front/ is wider.

--- /dev/null
+++ b/crates/node/src/front/call.rs
@@ -0,0 +1,233 @@
+//! One request's way, from its head to its answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
+use hyper::header::HeaderMap;
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::sync::oneshot;
+use tokio::time::{timeout_at, Instant};
+use woodgap_decisions::{ClassId, TenantId};
+
+use super::clients::{plain, Clients, OVERFULL};
+use super::conn::{Conn, Peer};
+use super::request::{drop_hop_headers, Fault, Head};
+use crate::meter::Meter;
+use crate::pool::driver::{Answer, Arrival, Msg};
+#[cfg(feature = "hosted")]
+use crate::pool::gated::{Asks, Through};
+use crate::pool::{bump, Service};
+use crate::upstream::exchange::{Call, LONGEST_BODY};
+
+/// An answer must reach the client before it gives up: the client counts from its send, the node
+/// from its read, and the way back takes time too.
+pub const MARGIN: Duration = Duration::from_millis(12);
+
+impl Clients {
+    /// The answer, and whether the connection may be kept after it.
+    pub(super) async fn handle<B>(
+        &self,
+        request: Request<B>,
+        body_by: Instant,
+        conn: &Conn,
+        listener: &str,
+        meter: Option<Rc<Meter>>,
+    ) -> (Response<Full<Bytes>>, bool)
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        match request.uri().path() {
+            "/-/ready" if request.method() == Method::GET => {
+                let ready = !self.draining.get();
+                (plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, ""), true)
+            }
+            "/api" => {
+                let (parts, body) = request.into_parts();
+                let service = match self.directory.find(listener, &parts) {
+                    Ok(service) => service,
+                    Err((status, why)) => return (plain(status, why), false),
+                };
+                if let Some(meter) = meter {
+                    meter.is_for(service.account.uid, service.weight.get());
+                }
+                let keep = self.sit(conn, &service);
+                let (mut response, keep) = match self.call(parts, body, body_by, &service, conn.peer).await {
+                    Ok(response) => (response, keep),
+                    // Who sends what can't be used is not trusted with where its next request begins.
+                    Err((status, why)) => (plain(status, why), false),
+                };
+                if let Some((policy, standing)) = self.directory.limits(&service) {
+                    response.headers_mut().insert("ratelimit-policy", policy);
+                    response.headers_mut().insert("ratelimit", standing);
+                }
+                (response, keep)
+            }
+            _ => (plain(StatusCode::NOT_FOUND, "no such path\n"), false),
+        }
+    }
+
+    /// Counts a connection for the tenant of its request; whether it may stay.
+    fn sit(&self, conn: &Conn, service: &Rc<Service>) -> bool {
+        if conn.tenant() == Some(service.account.uid) {
+            return true;
+        }
+        *conn.seat.borrow_mut() = None;
+        let Some(seat) = self.directory.seat(service) else { return false };
+        *conn.seat.borrow_mut() = Some((service.account.uid, seat));
+        true
+    }
+
+    async fn call<B>(
+        &self,
+        parts: Parts,
+        body: B,
+        body_by: Instant,
+        service: &Rc<Service>,
+        _peer: Peer,
+    ) -> Result<Response<Full<Bytes>>, Fault>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let account = &service.account;
+        if let Err(turned) = self.directory.door(service) {
+            bump(&account.refused);
+            return Ok(self.turned(turned));
+        }
+        let hint = body.size_hint();
+        let size = hint.lower();
+        // One that does not say how long it is may be as long as any.
+        let room = hint.upper().unwrap_or(LONGEST_BODY as u64).min(LONGEST_BODY as u64);
+        let head = Head::read(parts, size, &service.settings, &service.names, service.orgs)?;
+        let _place = match self.directory.hold(service, room) {
+            Ok(place) => place,
+            Err(turned) => {
+                bump(&account.refused);
+                return Ok(self.turned(turned));
+            }
+        };
+        let body = match timeout_at(body_by, Limited::new(body, LONGEST_BODY).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n"))
+            }
+            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "the body is broken\n")),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come\n")),
+        };
+        // It may have been deleted while the body came: nothing new is taken from then on.
+        if account.closed.get() {
+            return Err(super::NO_TENANT);
+        }
+        // A request's time counts from its last byte.
+        let deadline = Instant::now() + head.patience.saturating_sub(MARGIN);
+        let deadline = self.ends.get().map_or(deadline, |ends| deadline.min(ends));
+        // Servers tell requests apart by what clients call them: a second one under an open id would
+        // run its effect twice, or be answered with the other's answer.
+        let Some(waiting) = Waiting::new(service, head.txn) else {
+            return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
+        };
+        let call = Rc::new(Call { method: head.method, target: head.target, headers: head.headers, body });
+        // Each time that it is asked the request has another number: the pool may still know the last one.
+        let ask = || {
+            let id = self.next_id.replace(self.next_id.get() + 1);
+            waiting.asked(id);
+            let (reply, answer) = oneshot::channel();
+            let arrival = Arrival {
+                id,
+                class: ClassId(head.class),
+                tenant: head.tenant.map(TenantId),
+                key: head.key,
+                repeat: head.repeat,
+                cost: head.cost,
+                deadline,
+                call: call.clone(),
+                reply,
+            };
+            let sent = service.tx.send(Msg::Request(Box::new(arrival))).is_ok();
+            async move {
+                if !sent {
+                    return (Answer::Refused(Some(OVERFULL)), None);
+                }
+                answer.await.unwrap_or((Answer::Late, None))
+            }
+        };
+        #[cfg(feature = "hosted")]
+        let gate = service.gate.borrow().clone();
+        #[cfg(feature = "hosted")]
+        let answer = match gate {
+            None => ask().await.0,
+            Some((gate, keys)) => {
+                let key = keys.of(&call.headers, _peer, head.key);
+                let asks = Asks { key, class: head.class, again: head.repeat, deadline };
+                match gate.through(asks, ask).await {
+                    Through::Answered(answer) => answer,
+                    Through::Refused(wait) => Answer::Refused(wait),
+                }
+            }
+        };
+        #[cfg(not(feature = "hosted"))]
+        let answer = ask().await.0;
+        Ok(match answer {
+            Answer::Served(headers, body) => {
+                bump(&account.served);
+                served(headers, body)
+            }
+            Answer::Refused(wait) => {
+                bump(&account.refused);
+                self.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", wait)
+            }
+            Answer::Failed => {
+                bump(&account.failed);
+                plain(StatusCode::BAD_GATEWAY, "failed\n")
+            }
+            Answer::Late => {
+                bump(&account.failed);
+                plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n")
+            }
+        })
+    }
+}
+
+/// A request that waits for its answer. The connection's future drops it when the client goes.
+struct Waiting<'a> {
+    service: &'a Rc<Service>,
+    /// Its number in the pool, once it was asked.
+    id: Cell<Option<u64>>,
+    txn: String,
+}
+
+impl<'a> Waiting<'a> {
+    /// `None` where the client's name for it is taken.
+    fn new(service: &'a Rc<Service>, txn: String) -> Option<Self> {
+        let new = service.account.open.borrow_mut().insert(txn.clone());
+        new.then(|| Waiting { service, id: Cell::new(None), txn })
+    }
+
+    fn asked(&self, id: u64) {
+        self.id.set(Some(id));
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.service.account.open.borrow_mut().remove(&self.txn);
+        // For one that was answered the driver has forgotten the id, or knows it as ended.
+        if let Some(id) = self.id.get() {
+            let _ = self.service.tx.send(Msg::Gone(id));
+        }
+    }
+}
+
+fn served(mut headers: HeaderMap, body: Bytes) -> Response<Full<Bytes>> {
+    drop_hop_headers(&mut headers);
+    headers.remove("x-pressure");
+    let mut response = Response::new(Full::new(body));
+    *response.headers_mut() = headers;
+    response
+}
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -15,8 +15,9 @@
 use tokio::time::sleep;
 use woodgap_tenancy::shares::NOBODY;
 
-use super::clients::{Clients, CROWDED, FULL, LONGEST_HEAD, MOST_HEADERS, OVERFULL, REFUSAL};
+use super::clients::{Clients, LONGEST_HEAD, MOST_HEADERS, OVERFULL, REFUSAL};
 use super::conn::{Conn, Peer, Phase, Socket, SLOW};
+use super::places::{CROWDED, FULL};
 use crate::meter::{metered, Meter};
 use crate::task::Permit;
 
--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -27,8 +27,9 @@
 use tokio::time::{timeout, Instant};
 use woodgap_tenancy::shares::NOBODY;
 
-use super::clients::{plain, Clients, HANDOVER, LONGEST_HEAD, MOST_HEADERS};
+use super::clients::{plain, Clients, LONGEST_HEAD, MOST_HEADERS};
 use super::conn::{Conn, Peer, Phase, SLOW};
+use super::places::HANDOVER;
 use super::request::Fault;
 use crate::meter::{metered, Meter};
 use crate::quic::{self, Stops};
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -10,6 +10,7 @@
 //! Nothing downstream of the front knows which protocol a request came by. The [`Directory`] owns the
 //! services; the front owns the connections and what it holds of a request until its answer.
 
+pub mod call;
 pub mod clients;
 pub mod conn;
 pub mod http1;
@@ -17,7 +18,9 @@
 pub mod http3;
 #[cfg(feature = "hosted")]
 pub mod keys;
+mod places;
 pub mod request;
+mod shutdown;
 #[cfg(feature = "hosted")]
 pub mod tls;
 
