Look once more for a request before a connection gives way or is closed as idle

Reason: a request taken gets its answer, and one that is read and sent on must not be dropped with its connection.

Cause: front/http1.rs `serve` selected between the connection and the wish to close it. Where both were ready and the connection was polled first, hyper read the request and it was sent on; then the loop broke off and dropped all of it (eviction for a newcomer, look-over). Where the close came first, and on the graceful close of idle connections after SIGTERM, a request that lay in the system was closed over. `Conn::shut(true)` marked the connection as closing before anybody had looked.

Change: the wish is a flag. `serve` lets the runtime take in what the sockets have (one turn), polls the connection, and closes only if nothing is open on it then (`Conn::gives_way`) or, for a graceful end, as before. Nothing runs between that poll and the FIN.

--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -59,16 +59,16 @@
     Open,
     /// Between requests.
     Idle,
-    /// It is being closed.
-    Closing,
 }
 
 /// The state of a connection, shared by its socket, its service and the look-over.
 pub struct Conn {
     phase: Cell<Phase>,
     since: Cell<Instant>,
-    /// Whether it is closed at once, or with the answer to the request that may be open.
+    /// Whether it is to end at once, unless a request has come meanwhile.
     abrupt: Cell<bool>,
+    /// Whether it is to end with the answer to the request that may be open.
+    last: Cell<bool>,
     /// Requests that have come on it.
     requests: Cell<u32>,
     pub close: Notify,
@@ -87,6 +87,7 @@
             phase: Cell::new(Phase::New),
             since: Cell::new(now),
             abrupt: Cell::new(false),
+            last: Cell::new(false),
             requests: Cell::new(0),
             close: Notify::new(),
             first_by: now + first,
@@ -96,10 +97,8 @@
     }
 
     pub fn enter(&self, phase: Phase) {
-        if self.phase.get() != Phase::Closing {
-            self.phase.set(phase);
-            self.since.set(Instant::now());
-        }
+        self.phase.set(phase);
+        self.since.set(Instant::now());
     }
 
     /// A head has come whole; tells by when its body must have.
@@ -122,10 +121,11 @@
     /// Whether a request has taken too long to come, or none has come for long.
     pub fn overdue(&self) -> bool {
         match self.phase.get() {
+            _ if self.abrupt.get() => false,
             Phase::New => Instant::now() > self.first_by,
             Phase::Head => self.since.get().elapsed() > SLOW,
             Phase::Idle => self.since.get().elapsed() > IDLE,
-            Phase::Open | Phase::Closing => false,
+            Phase::Open => false,
         }
     }
 
@@ -137,9 +137,10 @@
     /// How dispensable the connection is where places are short; from 1 on it may be closed.
     pub fn spare(&self) -> f64 {
         let after = match self.phase.get() {
+            _ if self.abrupt.get() => return 0.0,
             Phase::New => SPARE_SILENT,
             Phase::Idle => SPARE_IDLE,
-            Phase::Head | Phase::Open | Phase::Closing => return 0.0,
+            Phase::Head | Phase::Open => return 0.0,
         };
         self.since.get().elapsed().as_secs_f64() / after.as_secs_f64()
     }
@@ -156,13 +157,22 @@
 
     /// Has it closed. `abrupt` is for those on which no request is open.
     pub fn shut(&self, abrupt: bool) {
-        if abrupt {
-            self.phase.set(Phase::Closing);
-        }
-        self.abrupt.set(self.abrupt.get() || abrupt);
+        let why = if abrupt { &self.abrupt } else { &self.last };
+        why.set(true);
         self.close.notify_one();
     }
 
+    /// Whether it still is to end at once, after a last look at what has come: a request that is open keeps it, and so
+    /// does one that begins.
+    pub fn gives_way(&self) -> bool {
+        self.abrupt.take() && (self.phase.get() == Phase::Idle || self.spare() >= 1.0 || self.overdue())
+    }
+
+    /// Whether it is to end, with the answer to the request that is open or coming or now.
+    pub fn is_last(&self) -> bool {
+        self.last.get()
+    }
+
     pub fn is_abrupt(&self) -> bool {
         self.abrupt.get()
     }
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 from clients, over TCP or TLS.
 
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderValue};
@@ -11,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 use woodgap_tenancy::shares::NOBODY;
 
@@ -141,11 +143,19 @@
                         _ = connection.as_mut() => break,
                         () = conn.close.notified() => {}
                     }
-                    if conn.is_abrupt() {
+                    // The last look: what the system holds may be a request that came since, and what was begun
+                    // has its answer. The runtime learns of it in its next turn.
+                    yield_now().await;
+                    if poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await {
                         break;
                     }
-                    // Idle ones end at once, others with their answer.
-                    connection.as_mut().graceful_shutdown();
+                    if conn.gives_way() {
+                        break;
+                    }
+                    // Idle ones end now, others with their answer.
+                    if conn.is_last() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             })
             .await;
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -91,3 +91,6 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/front/shutdown.rs
+++ b/crates/node/src/front/shutdown.rs
@@ -41,7 +41,7 @@
 
     /// Ends all connections, those with a request open with its answer, but not those on which one may be coming
     /// for no longer than this.
-    fn close_idle(&self, coming: Duration) {
+    pub(super) fn close_idle(&self, coming: Duration) {
         let conns = self.conns.borrow();
         conns.values().filter(|conn| !conn.is_coming(coming)).for_each(|conn| conn.shut(false));
     }
