End a client's connection by its sending side first, and read on before it is closed

Reason: a close over unread bytes is a reset, and what the system still holds of the answer goes with it.

Cause: front/http1.rs `serve` dropped the socket as soon as hyper had written the last answer, whatever its client was still sending: bytes after a last request, the body of one that was turned away at its head (400, 413, 503).

Change: front/linger.rs. Such a connection keeps its place and descriptor and is the first to give way: to newcomers (`evict`) and, by a hook in `Sockets::permit`, to connections to servers. One that gives way itself is closed at once, as before: the last look has shown that nothing lies unread on it.

--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -18,6 +18,7 @@
 use woodgap_tenancy::Uid;
 
 use super::conn::Conn;
+use super::linger::MOST_LINGERING;
 use super::{Directory, Turned};
 use crate::sockets::Sockets;
 use crate::task::Budget;
@@ -39,6 +40,8 @@
     /// Sockets of clients, and of clients that are only told to go.
     pub(super) budget: Rc<Budget>,
     pub(super) overflow: Rc<Budget>,
+    /// Connections that have ended on the node's side, and not yet on the client's.
+    pub(super) lingering: Rc<Budget>,
     pub(super) next_id: Cell<u64>,
     pub(super) next_conn: Cell<u64>,
     pub(super) conns: RefCell<HashMap<u64, Rc<Conn>>>,
@@ -65,6 +68,7 @@
             sockets,
             budget: budgets.0,
             overflow: budgets.1,
+            lingering: Budget::new(MOST_LINGERING),
             next_id: Cell::new(1),
             next_conn: Cell::new(0),
             conns: RefCell::default(),
@@ -73,6 +77,8 @@
             ends: Cell::new(None),
             ended: Notify::new(),
         });
+        let held = Rc::downgrade(&clients);
+        clients.sockets.first_to_go(move || held.upgrade().is_some_and(|clients| clients.end_one()));
         spawn_local(clients.clone().look_over());
         clients
     }
--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -59,6 +59,8 @@
     Open,
     /// Between requests.
     Idle,
+    /// The node has ended its side, and waits for the client to end the other one.
+    Lingering,
 }
 
 /// The state of a connection, shared by its socket, its service and the look-over.
@@ -125,7 +127,7 @@
             Phase::New => Instant::now() > self.first_by,
             Phase::Head => self.since.get().elapsed() > SLOW,
             Phase::Idle => self.since.get().elapsed() > IDLE,
-            Phase::Open => false,
+            Phase::Open | Phase::Lingering => false,
         }
     }
 
@@ -141,6 +143,7 @@
             Phase::New => SPARE_SILENT,
             Phase::Idle => SPARE_IDLE,
             Phase::Head | Phase::Open => return 0.0,
+            Phase::Lingering => return f64::INFINITY,
         };
         self.since.get().elapsed().as_secs_f64() / after.as_secs_f64()
     }
@@ -168,6 +171,19 @@
         self.abrupt.take() && (self.phase.get() == Phase::Idle || self.spare() >= 1.0 || self.overdue())
     }
 
+    /// The node has ended its side: whatever is wanted of it from now on is its place.
+    pub fn lingers(&self) {
+        self.abrupt.set(false);
+        self.enter(Phase::Lingering);
+    }
+
+    /// Waits until it is to end at once.
+    pub async fn must_go(&self) {
+        while !self.abrupt.get() {
+            self.close.notified().await;
+        }
+    }
+
     /// Whether it is to end, with the answer to the request that is open or coming or now.
     pub fn is_last(&self) -> bool {
         self.last.get()
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -130,35 +131,39 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        {
-            let connection = http1::Builder::new()
-                .header_read_timeout(None)
-                .max_buf_size(LONGEST_HEAD)
-                .max_headers(MOST_HEADERS)
-                .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
-            metered(meter, async {
-                let mut connection = std::pin::pin!(connection);
-                loop {
-                    tokio::select! {
-                        _ = connection.as_mut() => break,
-                        () = conn.close.notified() => {}
-                    }
-                    // The last look: what the system holds may be a request that came since, and what was begun
-                    // has its answer. The runtime learns of it in its next turn.
-                    yield_now().await;
-                    if poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx).is_ready())).await {
-                        break;
-                    }
-                    if conn.gives_way() {
-                        break;
-                    }
-                    // Idle ones end now, others with their answer.
-                    if conn.is_last() {
-                        connection.as_mut().graceful_shutdown();
-                    }
+        let mut connection = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(LONGEST_HEAD)
+            .max_headers(MOST_HEADERS)
+            .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
+        let whole = metered(meter, async {
+            loop {
+                tokio::select! {
+                    _ = &mut connection => break true,
+                    () = conn.close.notified() => {}
                 }
-            })
-            .await;
+                // The last look: what the system holds may be a request that came since, and what was begun
+                // has its answer. The runtime learns of it in its next turn.
+                yield_now().await;
+                if poll_fn(|cx| Poll::Ready(Pin::new(&mut connection).poll(cx).is_ready())).await {
+                    break true;
+                }
+                if conn.gives_way() {
+                    break false;
+                }
+                // Idle ones end now, others with their answer.
+                if conn.is_last() {
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        })
+        .await;
+        // One that gives way is closed at once: nothing lies unread on it, and its place is wanted.
+        let stream = connection.into_parts().io.into_inner();
+        if whole {
+            self.linger(stream, &conn).await;
+        } else {
+            drop(stream);
         }
         // The socket is closed: its place may go to another.
         self.conns.borrow_mut().remove(&number);
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -18,6 +18,7 @@
 pub mod http3;
 #[cfg(feature = "hosted")]
 pub mod keys;
+mod linger;
 mod places;
 pub mod request;
 mod shutdown;
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -2,6 +2,7 @@
 //! has happened before any task of the node runs again: so an instant is provoked.
 
 mod closing;
+mod ending;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -13,7 +14,7 @@
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{advance, pause, resume, timeout};
@@ -31,6 +32,9 @@
 /// Longer than anything takes on a machine that works.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Sockets of a node.
+const SOCKETS: usize = 64;
+
 struct One(Rc<Service>);
 
 impl Directory for One {
@@ -50,6 +54,7 @@
 struct Rig {
     clients: Rc<Clients>,
     addr: SocketAddr,
+    sockets: Rc<Sockets>,
     /// What clients call the requests that were sent on.
     taken: Rc<RefCell<Vec<String>>>,
 }
@@ -82,11 +87,19 @@
             }
         });
         let budgets = (Budget::new(places), Budget::new(1));
-        let clients = Clients::new(Rc::new(One(Rc::new(service))), false, Sockets::new(64), budgets);
+        let sockets = Sockets::new(SOCKETS);
+        let clients = Clients::new(Rc::new(One(Rc::new(service))), false, sockets.clone(), budgets);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         spawn_local(clients.clone().accept(listener, Door::plain("")));
-        Rig { clients, addr, taken }
+        Rig { clients, addr, sockets, taken }
+    }
+
+    /// A client whose system takes in little at a time.
+    async fn narrow(&self) -> TcpStream {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        socket.connect(self.addr).await.unwrap()
     }
 
     /// A connection that rests: it has had an answer.
@@ -96,6 +109,17 @@
         assert_eq!(answer(&mut stream).await.as_deref(), Some("ok"));
         stream
     }
+
+    /// Waits until so many requests were sent on.
+    async fn has_taken(&self, count: usize) {
+        timeout(PATIENCE, async {
+            while self.taken.borrow().len() < count {
+                yield_now().await;
+            }
+        })
+        .await
+        .expect("the request is sent on");
+    }
 }
 
 fn request(id: &str, more: &str) -> Vec<u8> {
--- a/crates/node/src/sockets.rs
+++ b/crates/node/src/sockets.rs
@@ -10,12 +10,16 @@
 pub struct Sockets {
     budget: Rc<Budget>,
     pools: RefCell<Vec<Weak<Servers>>>,
+    end_one: RefCell<Option<EndOne>>,
 }
 
+/// Ends a client's connection that the node has ended on its side; `false` if there is none.
+type EndOne = Box<dyn Fn() -> bool>;
+
 impl Sockets {
     /// A budget of so many descriptors.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Sockets { budget: Budget::new(most), pools: RefCell::default() })
+        Rc::new(Sockets { budget: Budget::new(most), pools: RefCell::default(), end_one: RefCell::default() })
     }
 
     /// Counts a pool's idle connections among those that may make room.
@@ -33,13 +37,19 @@
         fullest.is_some_and(|pool| pool.evict())
     }
 
-    /// A place for one more socket, at the cost of an idle connection where all are taken.
+    /// How a connection is ended that only waits for its client to hear the end: the first to make room.
+    pub fn first_to_go(&self, end_one: impl Fn() -> bool + 'static) {
+        *self.end_one.borrow_mut() = Some(Box::new(end_one));
+    }
+
+    /// A place for one more socket, at the cost of one that has ended or of an idle connection where all are taken.
     pub async fn permit(&self) -> Option<Permit> {
         loop {
             if let Some(permit) = self.budget.take() {
                 return Some(permit);
             }
-            if !self.evict() {
+            let ended = self.end_one.borrow().as_ref().is_some_and(|end_one| end_one());
+            if !ended && !self.evict() {
                 return None;
             }
             // The socket closes when its task is next run.
