Spare a request that has begun at the shutdown, and a connection whose answer is on its way

Reason: what clients send after SIGTERM on a connection that is open gets its answer, and an answer that has begun to go out is not cut by the node.

Causes: `Conn::is_coming` held for 0.25 s; then `close_idle` asked for a graceful end, and hyper, for which a connection with half a later head is idle, closed over what it had read. And `serve` called a connection idle once hyper had the answer: one whose client read slowly gave way after 2 s, rest of the answer and all.

Change: a request that has begun is left to come, with `Connection: close` on its answer; the look-over bounds it by `SLOW`. `Phase::Answering` lasts until all is with the system (hyper flushes only then); it gives way where its client has taken in nothing for 2 s, and is given up on after 5 s. conn.rs is split: the other end (peer.rs), phases (phase.rs), tests.

--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -13,6 +13,8 @@
 use tokio::time::Instant;
 use woodgap_tenancy::Uid;
 
+pub use super::peer::Peer;
+pub use super::phase::Phase;
 use crate::front::Seat;
 
 /// The longest time from connecting, or from a later request's first byte, to the request's last:
@@ -20,49 +22,13 @@
 pub const SLOW: Duration = Duration::from_millis(2_500);
 /// The longest idle time between requests.
 const IDLE: Duration = Duration::from_secs(60);
+/// An answer of which its client takes in nothing for this long is given up on.
+const UNREAD: Duration = Duration::from_secs(5);
 /// Where places are short, a connection with nothing open on it may be closed after this time; one
 /// that has not said a word since it was opened after the shorter one.
 const SPARE_IDLE: Duration = Duration::from_secs(2);
 const SPARE_SILENT: Duration = Duration::from_millis(500);
 
-/// Who is at the other end of a connection, as far as something goes by it: nothing on the platform.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Peer {
-    /// Its address.
-    #[cfg(feature = "hosted")]
-    pub address: Option<std::net::IpAddr>,
-    /// Its certificate's subject, hashed, where it has shown one.
-    #[cfg(feature = "hosted")]
-    pub subject: Option<u64>,
-}
-
-impl Peer {
-    /// One at this address.
-    pub fn at(_address: std::net::SocketAddr) -> Peer {
-        Peer {
-            #[cfg(feature = "hosted")]
-            address: Some(_address.ip()),
-            #[cfg(feature = "hosted")]
-            subject: None,
-        }
-    }
-}
-
-/// What a connection is about.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Phase {
-    /// Nothing has been answered on it and no head is whole.
-    New,
-    /// A later request has begun to come.
-    Head,
-    /// A request is open.
-    Open,
-    /// Between requests.
-    Idle,
-    /// The node has ended its side, and waits for the client to end the other one.
-    Lingering,
-}
-
 /// The state of a connection, shared by its socket, its service and the look-over.
 pub struct Conn {
     phase: Cell<Phase>,
@@ -126,14 +92,19 @@
             _ if self.abrupt.get() => false,
             Phase::New => Instant::now() > self.first_by,
             Phase::Head => self.since.get().elapsed() > SLOW,
+            Phase::Answering => self.since.get().elapsed() > UNREAD,
             Phase::Idle => self.since.get().elapsed() > IDLE,
             Phase::Open | Phase::Lingering => false,
         }
     }
 
-    /// Whether its first request, or a later one that has begun, may be coming for no longer than this.
+    /// Whether a later request has begun to come, or its first one may be coming for no longer than this.
     pub fn is_coming(&self, within: Duration) -> bool {
-        matches!(self.phase.get(), Phase::New | Phase::Head) && self.since.get().elapsed() < within
+        match self.phase.get() {
+            Phase::Head => true,
+            Phase::New => self.since.get().elapsed() < within,
+            _ => false,
+        }
     }
 
     /// How dispensable the connection is where places are short; from 1 on it may be closed.
@@ -141,7 +112,7 @@
         let after = match self.phase.get() {
             _ if self.abrupt.get() => return 0.0,
             Phase::New => SPARE_SILENT,
-            Phase::Idle => SPARE_IDLE,
+            Phase::Idle | Phase::Answering => SPARE_IDLE,
             Phase::Head | Phase::Open => return 0.0,
             Phase::Lingering => return f64::INFINITY,
         };
@@ -177,6 +148,20 @@
         self.enter(Phase::Lingering);
     }
 
+    /// The system took something in: a client that takes in more of its answer is there.
+    fn wrote(&self, any: bool) {
+        if any && self.phase.get() == Phase::Answering {
+            self.enter(Phase::Answering);
+        }
+    }
+
+    /// All that there was to write is with the system. hyper flushes only then.
+    fn flushed(&self, all: bool) {
+        if all && self.phase.get() == Phase::Answering {
+            self.enter(Phase::Idle);
+        }
+    }
+
     /// Waits until it is to end at once.
     pub async fn must_go(&self) {
         while !self.abrupt.get() {
@@ -223,11 +208,15 @@
 
 impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        let written = Pin::new(&mut self.stream).poll_write(cx, data);
+        self.conn.wrote(written.is_ready());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        self.conn.flushed(flushed.is_ready());
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -239,7 +228,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
+        self.conn.wrote(written.is_ready());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -248,36 +239,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    // Those who say nothing give way first, those with a request open never.
-    #[tokio::test(start_paused = true)]
-    async fn what_nothing_is_open_on_gives_way() {
-        let conn = Conn::new(SLOW, Peer::default());
-        let may_close_after = |conn: &Rc<Conn>| {
-            let conn = conn.clone();
-            async move {
-                for tenths in 0..100 {
-                    if conn.spare() >= 1.0 {
-                        return Some(tenths);
-                    }
-                    tokio::time::advance(Duration::from_millis(100)).await;
-                }
-                None
-            }
-        };
-        assert_eq!(may_close_after(&conn).await, Some(5));
-        conn.opened();
-        assert!(conn.is_first());
-        assert_eq!(may_close_after(&conn).await, None);
-        assert!(!conn.overdue());
-        conn.enter(Phase::Idle);
-        assert_eq!(may_close_after(&conn).await, Some(20));
-        conn.enter(Phase::Head);
-        tokio::time::advance(SLOW + Duration::from_millis(1)).await;
-        assert!(conn.overdue());
-        conn.shut(true);
-        assert_eq!(may_close_after(&conn).await, None);
-    }
-}
+mod tests;
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -121,13 +121,13 @@
                     clients.handle(request, body_by, &state, &door.name, turns).await
                 };
                 let crowded = clients.budget.part() > if state.is_first() { CROWDED } else { FULL };
-                if !keep || crowded || clients.draining.get() {
+                if !keep || crowded || state.is_last() || clients.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 if let Some(other) = &door.also {
                     response.headers_mut().insert(header::ALT_SVC, other.clone());
                 }
-                state.enter(Phase::Idle);
+                state.enter(Phase::Answering);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -152,7 +152,7 @@
                     break false;
                 }
                 // Idle ones end now, others with their answer.
-                if conn.is_last() {
+                if conn.is_last() && !conn.is_coming(Duration::ZERO) {
                     Pin::new(&mut connection).graceful_shutdown();
                 }
             }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -19,6 +19,8 @@
 #[cfg(feature = "hosted")]
 pub mod keys;
 mod linger;
+mod peer;
+mod phase;
 mod places;
 pub mod request;
 mod shutdown;
--- /dev/null
+++ b/crates/node/src/front/peer.rs
@@ -0,0 +1,24 @@
+//! Who is at the other end of a connection.
+
+/// Who is at the other end of a connection, as far as something goes by it: nothing on the platform.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Peer {
+    /// Its address.
+    #[cfg(feature = "hosted")]
+    pub address: Option<std::net::IpAddr>,
+    /// Its certificate's subject, hashed, where it has shown one.
+    #[cfg(feature = "hosted")]
+    pub subject: Option<u64>,
+}
+
+impl Peer {
+    /// One at this address.
+    pub fn at(_address: std::net::SocketAddr) -> Peer {
+        Peer {
+            #[cfg(feature = "hosted")]
+            address: Some(_address.ip()),
+            #[cfg(feature = "hosted")]
+            subject: None,
+        }
+    }
+}
