--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -1,7 +1,10 @@
 //! HTTP/1.1 from clients, over TCP or TLS.
 
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderValue};
@@ -11,12 +14,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 use woodgap_tenancy::shares::NOBODY;
 
-use super::clients::{Clients, CROWDED, FULL, LONGEST_HEAD, MOST_HEADERS, OVERFULL, REFUSAL};
+use super::clients::{Clients, LONGEST_HEAD, MOST_HEADERS, OVERFULL, REFUSAL};
 use super::conn::{Conn, Peer, Phase, Socket, SLOW};
+use super::places::{CROWDED, FULL};
 use crate::meter::{metered, Meter};
 use crate::task::Permit;
 
@@ -117,37 +121,49 @@
                     clients.handle(request, body_by, &state, &door.name, turns).await
                 };
                 let crowded = clients.budget.part() > if state.is_first() { CROWDED } else { FULL };
-                if !keep || crowded || clients.draining.get() {
+                if !keep || crowded || state.is_last() || clients.draining.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 if let Some(other) = &door.also {
                     response.headers_mut().insert(header::ALT_SVC, other.clone());
                 }
-                state.enter(Phase::Idle);
+                state.enter(Phase::Answering);
                 Ok::<_, Infallible>(response)
             }
         });
-        {
-            let connection = http1::Builder::new()
-                .header_read_timeout(None)
-                .max_buf_size(LONGEST_HEAD)
-                .max_headers(MOST_HEADERS)
-                .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
-            metered(meter, async {
-                let mut connection = std::pin::pin!(connection);
-                loop {
-                    tokio::select! {
-                        _ = connection.as_mut() => break,
-                        () = conn.close.notified() => {}
-                    }
-                    if conn.is_abrupt() {
-                        break;
-                    }
-                    // Idle ones end at once, others with their answer.
-                    connection.as_mut().graceful_shutdown();
+        let mut connection = http1::Builder::new()
+            .header_read_timeout(None)
+            .max_buf_size(LONGEST_HEAD)
+            .max_headers(MOST_HEADERS)
+            .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
+        let whole = metered(meter, async {
+            loop {
+                tokio::select! {
+                    _ = &mut connection => break true,
+                    () = conn.close.notified() => {}
                 }
-            })
-            .await;
+                // The last look: what the system holds may be a request that came since, and what was begun
+                // has its answer. The runtime learns of it in its next turn.
+                yield_now().await;
+                if poll_fn(|cx| Poll::Ready(Pin::new(&mut connection).poll(cx).is_ready())).await {
+                    break true;
+                }
+                if conn.gives_way() {
+                    break false;
+                }
+                // Idle ones end now, others with their answer.
+                if conn.is_last() && !conn.is_coming(Duration::ZERO) {
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+            }
+        })
+        .await;
+        // One that gives way is closed at once: nothing lies unread on it, and its place is wanted.
+        let stream = connection.into_parts().io.into_inner();
+        if whole {
+            self.linger(stream, &conn).await;
+        } else {
+            drop(stream);
         }
         // The socket is closed: its place may go to another.
         self.conns.borrow_mut().remove(&number);
