See a client leave behind the further bytes that it has sent

Reason: a client that closes its connection has gone, and nothing may begin for its request more than 0.1 s later.

Cause: hyper looks for the end of a connection with a request open only while its read buffer is empty (front/http1.rs, serve; front/conn.rs, Socket::poll_read passed reads through). Behind a further request, or bytes that are none, a FIN or reset stayed unseen until the answer was written: the request waited at the door, was dialled for, sent on and tried again as if its client were there.

Change: front/socket.rs reads ahead into a buffer of its own, of 32 KiB at most, while a request is open and hyper does not wait for bytes; serve looks before and after hyper in each turn and ends the connection, which drops the request. Past the bound the system is asked every 50 ms whether the other end is closed, on those connections alone. They are kept: what is sent at once is owed its answers. At rest a connection holds nothing and reads as before. The socket moves out of conn.rs, its tests and those of conn.rs into files of their own.

--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -1,14 +1,9 @@
 //! A client connection as the node sees it: what it waits for and since when.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use woodgap_tenancy::Uid;
@@ -114,6 +109,11 @@
         by
     }
 
+    /// Whether a request is open.
+    pub fn is_open(&self) -> bool {
+        self.phase.get() == Phase::Open
+    }
+
     /// Whether no other request came before the one that is open.
     pub fn is_first(&self) -> bool {
         self.requests.get() == 1
@@ -168,90 +168,5 @@
     }
 }
 
-/// A client's socket, or TLS on it, which tells its connection when a request begins to come.
-pub struct Socket<S = TcpStream> {
-    stream: S,
-    conn: Rc<Conn>,
-}
-
-impl<S> Socket<S> {
-    pub fn new(stream: S, conn: Rc<Conn>) -> Self {
-        Socket { stream, conn }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let ready = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && self.conn.phase.get() == Phase::Idle {
-            self.conn.enter(Phase::Head);
-        }
-        ready
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    // Those who say nothing give way first, those with a request open never.
-    #[tokio::test(start_paused = true)]
-    async fn what_nothing_is_open_on_gives_way() {
-        let conn = Conn::new(SLOW, Peer::default());
-        let may_close_after = |conn: &Rc<Conn>| {
-            let conn = conn.clone();
-            async move {
-                for tenths in 0..100 {
-                    if conn.spare() >= 1.0 {
-                        return Some(tenths);
-                    }
-                    tokio::time::advance(Duration::from_millis(100)).await;
-                }
-                None
-            }
-        };
-        assert_eq!(may_close_after(&conn).await, Some(5));
-        conn.opened();
-        assert!(conn.is_first());
-        assert_eq!(may_close_after(&conn).await, None);
-        assert!(!conn.overdue());
-        conn.enter(Phase::Idle);
-        assert_eq!(may_close_after(&conn).await, Some(20));
-        conn.enter(Phase::Head);
-        tokio::time::advance(SLOW + Duration::from_millis(1)).await;
-        assert!(conn.overdue());
-        conn.shut(true);
-        assert_eq!(may_close_after(&conn).await, None);
-    }
-}
+mod tests;
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 from clients, over TCP or TLS.
 
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::header::{self, HeaderValue};
@@ -9,14 +11,14 @@
 use hyper::service::service_fn;
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use woodgap_tenancy::shares::NOBODY;
 
 use super::clients::{Clients, CROWDED, FULL, LONGEST_HEAD, MOST_HEADERS, OVERFULL, REFUSAL};
-use super::conn::{Conn, Peer, Phase, Socket, SLOW};
+use super::conn::{Conn, Peer, Phase, SLOW};
+use super::socket::{Socket, Stream};
 use crate::meter::{metered, Meter};
 use crate::task::Permit;
 
@@ -92,7 +94,7 @@
     /// Serves a connection until it ends; past the budget only to say so.
     async fn serve(
         self: Rc<Self>,
-        stream: impl AsyncRead + AsyncWrite + Unpin,
+        stream: impl Stream,
         peer: Peer,
         permits: (Permit, Option<Permit>),
         refuse: bool,
@@ -128,16 +130,27 @@
             }
         });
         {
+            let (socket, left) = Socket::new(stream, conn.clone());
             let connection = http1::Builder::new()
                 .header_read_timeout(None)
                 .max_buf_size(LONGEST_HEAD)
                 .max_headers(MOST_HEADERS)
-                .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
+                .serve_connection(TokioIo::new(socket), service);
             metered(meter, async {
                 let mut connection = std::pin::pin!(connection);
                 loop {
+                    // A client that has left is gone before anything more is done for it, also one that left with
+                    // its request.
+                    let served = poll_fn(|cx| {
+                        let gone = left.poll(cx).is_ready() || connection.as_mut().poll(cx).is_ready();
+                        if gone || left.poll(cx).is_ready() {
+                            Poll::Ready(())
+                        } else {
+                            Poll::Pending
+                        }
+                    });
                     tokio::select! {
-                        _ = connection.as_mut() => break,
+                        () = served => break,
                         () = conn.close.notified() => {}
                     }
                     if conn.is_abrupt() {
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -18,6 +18,7 @@
 #[cfg(feature = "hosted")]
 pub mod keys;
 pub mod request;
+pub mod socket;
 #[cfg(feature = "hosted")]
 pub mod tls;
 
