--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -1,14 +1,9 @@
 //! A client connection as the node sees it: what it waits for and since when.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use woodgap_tenancy::Uid;
@@ -81,6 +76,11 @@
         by
     }
 
+    /// Whether a request is open.
+    pub fn is_open(&self) -> bool {
+        self.phase.get() == Phase::Open
+    }
+
     /// Whether no other request came before the one that is open.
     pub fn is_first(&self) -> bool {
         self.requests.get() == 1
@@ -149,14 +149,14 @@
     }
 
     /// The system took something in: a client that takes in more of its answer is there.
-    fn wrote(&self, any: bool) {
+    pub(super) fn wrote(&self, any: bool) {
         if any && self.phase.get() == Phase::Answering {
             self.enter(Phase::Answering);
         }
     }
 
     /// All that there was to write is with the system. hyper flushes only then.
-    fn flushed(&self, all: bool) {
+    pub(super) fn flushed(&self, all: bool) {
         if all && self.phase.get() == Phase::Answering {
             self.enter(Phase::Idle);
         }
@@ -179,64 +179,5 @@
     }
 }
 
-/// A client's socket, or TLS on it, which tells its connection when a request begins to come.
-pub struct Socket<S = TcpStream> {
-    stream: S,
-    conn: Rc<Conn>,
-}
-
-impl<S> Socket<S> {
-    pub fn new(stream: S, conn: Rc<Conn>) -> Self {
-        Socket { stream, conn }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let ready = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && self.conn.phase.get() == Phase::Idle {
-            self.conn.enter(Phase::Head);
-        }
-        ready
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, data);
-        self.conn.wrote(written.is_ready());
-        written
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        self.conn.flushed(flushed.is_ready());
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, parts);
-        self.conn.wrote(written.is_ready());
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -4,7 +4,7 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use hyper::header::{self, HeaderValue};
@@ -12,15 +12,15 @@
 use hyper::service::service_fn;
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 use woodgap_tenancy::shares::NOBODY;
 
 use super::clients::{Clients, LONGEST_HEAD, MOST_HEADERS, OVERFULL, REFUSAL};
-use super::conn::{Conn, Peer, Phase, Socket, SLOW};
+use super::conn::{Conn, Peer, Phase, SLOW};
 use super::places::{CROWDED, FULL};
+use super::socket::{Socket, Stream};
 use crate::meter::{metered, Meter};
 use crate::task::Permit;
 
@@ -48,6 +48,16 @@
     }
 }
 
+/// How a connection ended.
+enum End {
+    /// All that was taken has its answer, or the connection broke.
+    Whole,
+    /// The client has left with a request open.
+    Left,
+    /// Its place is wanted.
+    GaveWay,
+}
+
 impl Clients {
     /// Accepts for as long as the node lives, after SIGTERM too: what is written to a connection
     /// in the backlog counts as taken.
@@ -96,7 +106,7 @@
     /// Serves a connection until it ends; past the budget only to say so.
     async fn serve(
         self: Rc<Self>,
-        stream: impl AsyncRead + AsyncWrite + Unpin,
+        stream: impl Stream,
         peer: Peer,
         permits: (Permit, Option<Permit>),
         refuse: bool,
@@ -131,39 +141,55 @@
                 Ok::<_, Infallible>(response)
             }
         });
+        let (socket, left) = Socket::new(stream, conn.clone());
         let mut connection = http1::Builder::new()
             .header_read_timeout(None)
             .max_buf_size(LONGEST_HEAD)
             .max_headers(MOST_HEADERS)
-            .serve_connection(TokioIo::new(Socket::new(stream, conn.clone())), service);
-        let whole = metered(meter, async {
+            .serve_connection(TokioIo::new(socket), service);
+        let end = metered(meter, async {
+            // A client that has left is gone before anything more is done for it, also one that left with its request.
+            let mut turn = |cx: &mut Context<'_>, shut: bool| {
+                if shut {
+                    Pin::new(&mut connection).graceful_shutdown();
+                }
+                if left.poll(cx).is_ready() {
+                    return Poll::Ready(End::Left);
+                }
+                let over = Pin::new(&mut connection).poll(cx).is_ready();
+                match left.poll(cx) {
+                    Poll::Ready(()) => Poll::Ready(End::Left),
+                    Poll::Pending if over => Poll::Ready(End::Whole),
+                    Poll::Pending => Poll::Pending,
+                }
+            };
+            let mut shut = false;
             loop {
                 tokio::select! {
-                    _ = &mut connection => break true,
+                    end = poll_fn(|cx| turn(cx, std::mem::take(&mut shut))) => break end,
                     () = conn.close.notified() => {}
                 }
                 // The last look: what the system holds may be a request that came since, and what was begun
                 // has its answer. The runtime learns of it in its next turn.
                 yield_now().await;
-                if poll_fn(|cx| Poll::Ready(Pin::new(&mut connection).poll(cx).is_ready())).await {
-                    break true;
+                if let Poll::Ready(end) = poll_fn(|cx| Poll::Ready(turn(cx, false))).await {
+                    break end;
                 }
                 if conn.gives_way() {
-                    break false;
+                    break End::GaveWay;
                 }
                 // Idle ones end now, others with their answer.
-                if conn.is_last() && !conn.is_coming(Duration::ZERO) {
-                    Pin::new(&mut connection).graceful_shutdown();
-                }
+                shut = conn.is_last() && !conn.is_coming(Duration::ZERO);
             }
         })
         .await;
-        // One that gives way is closed at once: nothing lies unread on it, and its place is wanted.
-        let stream = connection.into_parts().io.into_inner();
-        if whole {
-            self.linger(stream, &conn).await;
-        } else {
-            drop(stream);
+        // What was open for a client that has left is dropped here. One that gives way is closed at once: nothing
+        // lies unread on it, and its place is wanted.
+        let socket = connection.into_parts().io.into_inner();
+        drop(left);
+        match end {
+            End::Whole => self.linger(socket, &conn).await,
+            End::Left | End::GaveWay => drop(socket),
         }
         // The socket is closed: its place may go to another.
         self.conns.borrow_mut().remove(&number);
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -24,6 +24,7 @@
 mod places;
 pub mod request;
 mod shutdown;
+pub mod socket;
 #[cfg(feature = "hosted")]
 pub mod tls;
 
