Ask discovery again within a second and a half on any settings

Reason: whatever else is allowed after a call that failed, a change counts as told 6 s after discovery had it and could be reached.

Cause: `on_sync`, `SyncKind::Failed`, let the pause double with each failure up to half of `ask_within`, jittered to three quarters: 3.2 s after a few failures at the default of 10 s and up to 24 s at 60 s, on top of a call that may hang for 3.5 s. The spread of first calls grew with `ask_within` too.

Change: the pause is half of `ask_within`, a sixth of the 6 s at most, with the same jitter (0.5 to 1.5 s where the settings leave it): 3.5 s for a call that hangs, 1.5 s, and 1 s for the next one's answer. First calls are spread over 2 s at most.

`tests/asking.rs` without the change: "pause 3211676 at". Its second test (300 nodes do not come back in step) held before and holds now.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -95,7 +95,6 @@
     retries: f64,
     mood: Mood,
     subscribed: bool,
-    refusals: u32,
 }
 
 impl Balancer {
@@ -122,7 +121,6 @@
             retries: RETRY_BURST,
             mood: Mood { limit: f64::INFINITY, ratio: 1.0, ratios: [1.0; 2], near, ..Mood::default() },
             subscribed: false,
-            refusals: 0,
             settings,
         }
     }
--- a/crates/decisions/src/brain/table.rs
+++ b/crates/decisions/src/brain/table.rs
@@ -10,6 +10,8 @@
 pub(super) const KEY_SEED: u64 = 0x006b_6579;
 /// The least part of a turn that a small server gets.
 pub(super) const LEAST_TURN: f64 = 1.0 / 64.0;
+/// A change counts as told so long after discovery had it: a call that hangs, a pause and the next call.
+const TOLD: Micros = 6_000_000;
 
 /// Builds the table over `(server, weight)` pairs; a slot holds the position of its owner in
 /// the pairs. The order of the pairs does not matter to who owns what.
@@ -98,7 +100,8 @@
             out.push(Action::SetTimer { delay: self.jitter(SWEEP), timer: TIMER_SWEEP });
             if self.settings.discovery == Discovery::Ask {
                 // Nodes that start in step must not all call discovery at once.
-                let spread = (u64::from(self.settings.group_size) * 50_000).min(self.settings.ask_within / 3);
+                let spread = (u64::from(self.settings.group_size) * 50_000)
+                    .min(self.settings.ask_within.min(TOLD) / 3);
                 let delay = self.rng.u64(0..=spread);
                 out.push(Action::SetTimer { delay, timer: TIMER_SUBSCRIBE });
             }
@@ -106,12 +109,11 @@
         match kind {
             SyncKind::Failed => {
                 self.subscribed = false;
-                self.refusals += 1;
-                let delay = (500_000 << self.refusals.min(5)).min(self.settings.ask_within / 2);
+                let delay = (self.settings.ask_within / 2).min(TOLD / 6);
                 return out.push(Action::SetTimer { delay: self.jitter(delay), timer: TIMER_SUBSCRIBE });
             }
             SyncKind::Cached => {}
-            SyncKind::Delta | SyncKind::Full => (self.subscribed, self.refusals) = (true, 0),
+            SyncKind::Delta | SyncKind::Full => self.subscribed = true,
         }
         if kind != SyncKind::Delta {
             // A server absent from a complete list has been removed.
--- /dev/null
+++ b/crates/decisions/tests/asking.rs
@@ -0,0 +1,68 @@
+//! How often a node asks discovery: soon enough for every term, and never in step with its fleet.
+
+mod common;
+
+use common::*;
+use woodgap_decisions::*;
+
+/// What a host gives a call to discovery (`sources/discovery.rs` of the node), and what is left for the next one.
+const CALL: Micros = 3_500_000;
+const ANSWER: Micros = SECOND;
+/// A change counts as told so long after discovery had it, whatever else is allowed after a call that failed.
+const TOLD: Micros = 6 * SECOND;
+
+fn pause(actions: &[Action]) -> Micros {
+    let due = actions.iter().find_map(|action| match action {
+        Action::SetTimer { delay, timer: TimerId(2) } => Some(*delay),
+        _ => None,
+    });
+    due.expect("a timer to ask by")
+}
+
+/// The first pause of a node of this seed, and those after each of its failed calls.
+fn pauses(ask_within: Micros, group_size: u32, seed: u64) -> (Micros, Vec<Micros>) {
+    let settings = Settings { discovery: Discovery::Ask, group_size, ask_within, ..settings() };
+    let mut node = Node { balancer: Balancer::new(settings, seed), now: SECOND };
+    let start = pause(&node.sync(SyncKind::Cached, vec![member(1)]));
+    let after = |_| {
+        node.now += CALL;
+        assert_eq!(node.event(Event::Timer(TimerId(2))), vec![Action::Subscribe]);
+        pause(&node.sync(SyncKind::Failed, vec![]))
+    };
+    (start, (0..12).map(after).collect())
+}
+
+// Worst case: a call begins just before discovery is back and hangs for its whole time, then the pause, then the next.
+#[test]
+fn a_change_is_known_in_time_on_any_settings() {
+    for ask_within in [300_000, SECOND, 2 * SECOND, 10 * SECOND, 60 * SECOND, 3_600 * SECOND] {
+        for (group_size, seed) in [1, 12, 300, 5_000].into_iter().flat_map(|n| (0..8).map(move |s| (n, s))) {
+            let (start, after) = pauses(ask_within, group_size, seed);
+            assert!(
+                start + CALL < TOLD && start <= ask_within / 3,
+                "first call after {start} of {ask_within}"
+            );
+            for pause in after {
+                assert!(CALL + pause + ANSWER <= TOLD, "pause {pause} at {ask_within}");
+                assert!(4 * pause <= 3 * ask_within, "pause {pause} at {ask_within}");
+            }
+        }
+    }
+}
+
+// Discovery works off calls in turn: nodes that lost their watches in one moment must not come back in one.
+#[test]
+fn a_fleet_that_lost_discovery_in_step_does_not_call_in_step() {
+    for ask_within in [SECOND, 10 * SECOND, 60 * SECOND] {
+        for round in 0..3 {
+            let mut calls: Vec<Micros> =
+                (0..300).map(|seed| pauses(ask_within, 300, seed).1[round]).collect();
+            calls.sort_unstable();
+            let most =
+                calls.iter().map(|at| calls.iter().filter(|c| (*at..at + 100_000).contains(*c)).count());
+            let spread = calls[299] - calls[0];
+            assert!(spread >= (ask_within / 3).min(900_000), "{spread} at {ask_within}");
+            assert!(most.max() < Some(90), "in step at {ask_within}");
+        }
+    }
+}
