Heed a SIGHUP that comes while the configuration is read at the start

Reason: a new process may be told to read its configuration again in its first milliseconds.

Cause: `platform::start` read the file, and only then built the runtime whose `serve` took over the signals. A SIGHUP between the two ended the process, and one that came after the file was written anew was for a node that held the old text. From `exec` to there the system's own action holds still; nothing in the program can come before it.

Change: the signals are taken over first, then the file is read. What is wrong with a configuration is a type (`ConfigError`): the file, its form, a field that is missing or no address, a setting, each with the field's name and what to do; the log of a refused SIGHUP says it, and the program ends with it at its start.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,7 +1,6 @@
 //! The node's configuration, as the platform writes it.
 
 use std::collections::HashMap;
-use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +12,10 @@
 
 use crate::sources::discovery::List;
 
+mod error;
+
+pub use error::ConfigError;
+
 /// The file's form; unknown keys are ignored.
 #[derive(Deserialize)]
 struct File {
@@ -83,15 +86,16 @@
 
 impl Config {
     /// Reads the file's text; the environment's words come before the file's.
-    pub fn read(text: &str, env: &HashMap<String, String>) -> Result<Config, Box<dyn Error>> {
+    pub fn read(text: &str, env: &HashMap<String, String>) -> Result<Config, ConfigError> {
         let file: File = serde_json::from_str(text)?;
-        let address = |name: &str, given: Option<String>| -> Result<SocketAddr, Box<dyn Error>> {
-            let text = env.get(name).cloned().or(given).ok_or_else(|| format!("{name} is not set"))?;
-            Ok(text.parse().map_err(|e| format!("{name} '{text}': {e}"))?)
-        };
-        let parse = |text: &String| -> Result<SocketAddr, Box<dyn Error>> {
-            Ok(text.parse().map_err(|e| format!("peer '{text}': {e}"))?)
-        };
+        let address =
+            |field: &'static str, name: &str, given: Option<String>| match env.get(name).cloned().or(given) {
+                Some(text) => socket(field, &text),
+                None => Err(ConfigError::Missing { field }),
+            };
+        let peers = file.peers.iter().map(|text| socket("peers", text)).collect::<Result<_, _>>()?;
+        let optional =
+            |field, text: &Option<String>| text.as_deref().map(|text| socket(field, text)).transpose();
         let mut pairs = Pairs::default();
         flatten("", &file.settings, &mut pairs);
         let (settings, names) = settings::parse(&pairs)?;
@@ -105,14 +109,14 @@
         };
         Ok(Config {
             name: env.get("BALANCER_NAME").cloned().unwrap_or(file.name),
-            listen: address("BALANCER_LISTEN", file.listen)?,
-            discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+            listen: address("listen", "BALANCER_LISTEN", file.listen)?,
+            discovery: address("discovery", "BALANCER_DISCOVERY", file.discovery)?,
             seed: seed(&file.seed),
             sockets: file.limits.sockets,
             memory: (file.limits.memory_mb.max(1.0) * f64::from(1 << 20)) as usize,
-            peer_listen: file.peer_listen.as_ref().map(parse).transpose()?,
-            peers: file.peers.iter().map(parse).collect::<Result<_, _>>()?,
-            peers_all: file.peers_all.as_ref().map(parse).transpose()?,
+            peer_listen: optional("peer_listen", &file.peer_listen)?,
+            peers,
+            peers_all: optional("peers_all", &file.peers_all)?,
             known: List::from_value(&file.known).unwrap_or_default(),
             settings,
             names,
@@ -123,10 +127,13 @@
 
 /// The address of discovery that a changed file names. On SIGHUP the file is what is new: the
 /// environment still holds the address of the start.
-pub fn discovery_of(text: &str) -> Result<SocketAddr, Box<dyn Error>> {
+pub fn discovery_of(text: &str) -> Result<SocketAddr, ConfigError> {
     let file: File = serde_json::from_str(text)?;
-    let text = file.discovery.ok_or("discovery is not set")?;
-    Ok(text.parse().map_err(|e| format!("discovery '{text}': {e}"))?)
+    socket("discovery", &file.discovery.ok_or(ConfigError::Missing { field: "discovery" })?)
+}
+
+fn socket(field: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|source| ConfigError::Address { field, text: text.to_owned(), source })
 }
 
 fn seed(value: &Value) -> u64 {
@@ -183,27 +190,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn settings_are_read_as_the_simulator_writes_them() {
-        let text = r#"{"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 77}, "later": [],
-            "known": {"revision": 1, "complete": true, "members": [7]},
-            "settings": {"group-size": 3, "classes": [{"name": "pay", "aim": 5e5, "deadline": 1000000,
-                "semantics": "unsafe"}], "bounds": {"max-attempts": 5, "may-probe": true},
-                "report": {"fields": ["queue", "util"]}}}"#;
-        let env = HashMap::from([("BALANCER_LISTEN".to_owned(), "127.0.0.1:9".to_owned())]);
-        let config = Config::read(text, &env).unwrap();
-        assert_eq!((config.seed, config.sockets, config.listen.port()), (0xff, 77, 9));
-        assert_eq!(config.memory, 192 << 20);
-        assert_eq!((config.settings.group_size, config.settings.max_attempts), (3, 5));
-        assert_eq!((config.settings.classes[0].aim, config.names.class("pay")), (500_000, Some(0)));
-        assert!(config.settings.may_probe && config.known.entries.is_empty());
-        assert_eq!(config.figures.report, ["queue", "util"]);
-        assert!(Config::read("{}", &HashMap::new()).is_err());
-        assert_eq!(discovery_of(text).unwrap().port(), 2);
-        assert!(discovery_of("{}").is_err() && discovery_of(&text[..99]).is_err());
-    }
-}
+mod tests;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -3,6 +3,7 @@
 //! The node decides nothing. It turns what happens on its sockets into the module's events and
 //! carries out the module's actions.
 
+use std::collections::HashMap;
 use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use woodgap_decisions::settings::Names;
 use woodgap_decisions::Settings;
 
-use crate::config::{self, Config};
+use crate::config::{self, Config, ConfigError};
 use crate::front::clients::{Clients, OVERFULL};
 use crate::front::http1::Door;
 use crate::front::request::Fault;
@@ -82,10 +83,12 @@
     }
 }
 
-async fn serve(config: Config, path: String) -> Result<(), Box<dyn Error>> {
-    // Before the node is ready: an unhandled SIGHUP ends the process.
+async fn serve(path: String, env: HashMap<String, String>) -> Result<(), Box<dyn Error>> {
+    // Before the configuration is read: an unhandled SIGHUP ends the process, and one that comes later must have the
+    // file read again.
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let config = Config::read(&read(&path)?, &env)?;
     let listener = TcpListener::bind(config.listen).await?;
     let listen = listener.local_addr()?;
     let peers = match config.peer_listen {
@@ -143,8 +146,8 @@
     }
 }
 
-fn read(path: &str) -> Result<String, Box<dyn Error>> {
-    Ok(std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))?)
+fn read(path: &str) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path).map_err(|source| ConfigError::File { path: path.to_owned(), source })
 }
 
 /// What the program without many tenants calls itself; the other one is `hosted`. Proofs tell them apart by it.
@@ -187,17 +190,16 @@
 /// # Errors
 /// Says what is missing or cannot be read, or which part of the node ended.
 pub fn start() -> Result<(), Box<dyn Error>> {
-    let env: std::collections::HashMap<String, String> = std::env::vars_os()
+    let env: HashMap<String, String> = std::env::vars_os()
         .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)))
         .collect();
-    let path = env.get("BALANCER_CONFIG").ok_or(
+    let path = env.get("BALANCER_CONFIG").cloned().ok_or(
         "BALANCER_CONFIG is not set: it names the configuration of the platform's node (a hosted one is started by \
         `woodgap serve --config FILE`)",
     )?;
-    let config = Config::read(&read(path)?, &env)?;
     crate::telemetry::start(crate::telemetry::Format::Text);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(serve(config, path.clone())))
+    runtime.block_on(LocalSet::new().run_until(serve(path, env)))
 }
 
 #[cfg(test)]
