--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -19,8 +19,9 @@
 
 use crate::meter::{metered, Meter};
 use crate::peers::Peers;
-use crate::sources::discovery::{watch, List, News, AT_ONCE, SILENCE};
+use crate::sources::discovery::List;
 use crate::sources::views::{believed, Views, LISTED};
+use crate::sources::watch::{watch, News, Pace};
 use crate::task::AbortOnDrop;
 use crate::upstream::exchange::Call;
 use crate::upstream::servers::{Ended, Servers, TIDY};
@@ -28,9 +29,6 @@
 /// The module answers at the deadline it was given; what it has not answered this much later, the
 /// node answers, whatever the module does.
 const OVERDUE: Duration = Duration::from_millis(5);
-/// Pause before a watch on pushed lists is opened again: what its agent has counts as told meanwhile, and sends have
-/// to end half a second after that.
-const AGAIN: Duration = Duration::from_millis(100);
 /// Pause before a watch at a new address is opened again, and how often that is done before it is
 /// left to the module: its pauses are longer than the time in which the change has to be known.
 const MOVED_AGAIN: Duration = Duration::from_millis(100);
@@ -153,6 +151,7 @@
     /// What discovery told; lists that come as [`Msg::Members`] are merged already.
     views: Views,
     mode: Discovery,
+    pace: Pace,
     max_attempts: usize,
     revision: u64,
     /// The number of the present watch, and its task.
@@ -191,6 +190,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         Driver {
             balancer: Balancer::new(settings.clone(), seed),
+            pace: Pace::of(settings, servers.drain_grace()),
             clock: Clock { start: Instant::now(), unix },
             held: HashMap::new(),
             due: DelayQueue::new(),
@@ -378,7 +378,7 @@
                     Discovery::Ask => {
                         self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
                     }
-                    Discovery::Push => drop(self.due.insert(Due::Watch, AGAIN)),
+                    Discovery::Push => drop(self.due.insert(Due::Watch, self.pace.again)),
                 }
             }
         }
@@ -484,8 +484,7 @@
     fn subscribe(&mut self) {
         let (Some(addr), Some(tx)) = (self.discovery, self.tx.upgrade()) else { return };
         self.watch += 1;
-        let (number, revision) = (self.watch, self.revision);
-        let answer = if self.mode == Discovery::Push { AT_ONCE } else { SILENCE };
+        let (number, revision, answer) = (self.watch, self.revision, self.pace.answer);
         self.watching = Some(AbortOnDrop::spawn(async move {
             watch(addr, revision, answer, |news| drop(tx.send(Msg::News { watch: number, news }))).await;
         }));
--- a/crates/node/src/sources/mod.rs
+++ b/crates/node/src/sources/mod.rs
@@ -3,3 +3,4 @@
 pub mod discovery;
 mod objects;
 pub mod views;
+pub mod watch;
--- a/crates/node/src/sources/objects.rs
+++ b/crates/node/src/sources/objects.rs
@@ -1,6 +1,7 @@
 //! The JSON objects of a watch: one a line as a rule, but a list may come indented over many.
 
 use bytes::{Buf, Bytes, BytesMut};
+use thiserror::Error;
 
 /// What stands on a watch.
 #[derive(Debug, PartialEq)]
@@ -12,17 +13,10 @@
 }
 
 /// What is neither an object nor empty: what follows can't be told apart either.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, PartialEq, Error)]
+#[error("the watch holds what is no list: see what listens at the address of discovery")]
 pub struct NoObject;
 
-impl std::fmt::Display for NoObject {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the watch holds what is no list: see what listens at the address of discovery")
-    }
-}
-
-impl std::error::Error for NoObject {}
-
 /// Cuts a chunked answer into its objects; one may be split over chunks and lines anywhere.
 #[derive(Default)]
 pub struct Objects {
@@ -42,11 +36,6 @@
         self.buffer.extend_from_slice(chunk);
     }
 
-    /// Whether an object has begun and is not whole.
-    pub fn is_open(&self) -> bool {
-        self.depth > 0
-    }
-
     /// Bytes held.
     pub fn len(&self) -> usize {
         self.buffer.len()
--- /dev/null
+++ b/crates/node/src/sources/watch.rs
@@ -0,0 +1,174 @@
+//! The watch on discovery's list: opened, followed, and given up when it is silent.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, timeout_at, Instant};
+use woodgap_decisions::{Discovery, Settings};
+
+use super::discovery::List;
+use super::objects::{NoObject, Objects, Piece};
+use crate::task::AbortOnDrop;
+
+/// A watch sends at least an empty line every 2 s: one on which nothing whole came for this long is broken. Found out
+/// late, changes would be told to the node (by the rules) before it knows them.
+pub const SILENCE: Duration = Duration::from_millis(3_500);
+/// The most that a call may take up to the head of its answer where discovery is asked. It works calls off in turn and
+/// ends one that waits for 3 s by itself: given up earlier, calls would fail for as long as it has many callers. The
+/// module's pause (1.5 s at most) and the next call have to fit into 6 s with it.
+const IN_TURN: Duration = Duration::from_millis(3_500);
+/// What pushes lists stands on this machine and answers at once: one that has not after this part of the time in which
+/// sends must end is silent, and what it gets when it speaks again counts as told at that moment.
+const AT_ONCE: f64 = 0.3;
+/// The pause before a watch on pushed lists is opened again, as a part of the same time. With a call that hangs it is
+/// half of it: in the other half an attempt that waited on its connection may still be written (`Servers::address`).
+const AGAIN: f64 = 0.2;
+/// The least of both, whatever the settings say.
+const LEAST: Duration = Duration::from_millis(30);
+/// The longest list that is read: some ten thousand servers.
+const LONGEST_LIST: usize = 4 << 20;
+
+/// What the watch brings.
+#[derive(Debug)]
+pub enum News {
+    List(List),
+    /// The call failed or the watch broke.
+    Failed,
+}
+
+/// How patient the node is with its discovery.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// A call is given up if the head of its answer has not come so long after it began.
+    pub answer: Duration,
+    /// The pause before a watch on pushed lists is opened again.
+    pub again: Duration,
+}
+
+impl Pace {
+    /// By the settings, and the time in which sends to a server that drains must end.
+    pub fn of(settings: &Settings, drain_grace: Duration) -> Pace {
+        let at_once = drain_grace.mul_f64(AT_ONCE).max(LEAST);
+        let answer = match settings.discovery {
+            Discovery::Push => at_once,
+            // With a call that failed the next must have its answer within four times `ask_within` of it; the pause
+            // takes three quarters of one.
+            Discovery::Ask => IN_TURN.min(3 * Duration::from_micros(settings.ask_within)).max(at_once),
+        };
+        Pace { answer, again: drain_grace.mul_f64(AGAIN).max(LEAST) }
+    }
+}
+
+/// Why a watch ended.
+#[derive(Debug, Error)]
+pub enum Broken {
+    /// There is no connection.
+    #[error("it can't be reached: {0}")]
+    Dial(#[from] io::Error),
+    /// The head of the answer has not come in time.
+    #[error("it did not answer within {0:?}")]
+    Unanswered(Duration),
+    /// It answered, but not with a watch.
+    #[error("the watch was answered {0}")]
+    Refused(StatusCode),
+    /// What came is no HTTP, or the connection broke.
+    #[error("the watch broke: {0}")]
+    Http(#[from] hyper::Error),
+    /// The request could not be made.
+    #[error("the watch can't be asked for: {0}")]
+    Request(#[from] hyper::http::Error),
+    /// Nothing whole came for [`SILENCE`].
+    #[error("the watch is silent")]
+    Silent,
+    /// Its answer has ended.
+    #[error("the watch ended")]
+    Ended,
+    /// What came is no object.
+    #[error(transparent)]
+    NoObject(#[from] NoObject),
+    /// An object that is no JSON.
+    #[error("an object can't be read: {0}")]
+    Json(#[from] serde_json::Error),
+    /// An object without members.
+    #[error("an object that is no list: it has no 'members'")]
+    NoList,
+    /// More than [`LONGEST_LIST`].
+    #[error("a list of over {LONGEST_LIST} bytes")]
+    TooLong,
+}
+
+/// Watches from a revision on and hands on what comes until the watch ends; then says `Failed`. The call is given
+/// up if the head of its answer has not come after `answer`.
+pub async fn watch(addr: SocketAddr, revision: u64, answer: Duration, mut tell: impl FnMut(News)) {
+    let dial = async {
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    };
+    let Err(reason) = follow(dial, addr, revision, answer, &mut tell).await;
+    tracing::info!("discovery at {addr}: {reason}");
+    tell(News::Failed);
+}
+
+async fn follow<S: AsyncRead + AsyncWrite + Unpin + 'static>(
+    dial: impl Future<Output = io::Result<S>>,
+    addr: SocketAddr,
+    revision: u64,
+    answer: Duration,
+    tell: &mut impl FnMut(News),
+) -> Result<Infallible, Broken> {
+    // One time for all of it: a connection that comes up late leaves the answer what is left.
+    let call = async {
+        let (mut sender, connection) = http1::handshake(TokioIo::new(dial.await?)).await?;
+        let connection = AbortOnDrop::spawn(async move { drop(connection.await) });
+        let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
+            .header("host", addr.to_string())
+            .body(Empty::<Bytes>::new())?;
+        Ok::<_, Broken>((sender.send_request(request).await?, sender, connection))
+    };
+    let (response, _sender, _connection) =
+        timeout(answer, call).await.map_err(|_| Broken::Unanswered(answer))??;
+    if response.status() != StatusCode::OK {
+        return Err(Broken::Refused(response.status()));
+    }
+    let mut body = response.into_body();
+    let (mut objects, mut first) = (Objects::default(), true);
+    // What drips in is silence as well, until something is whole.
+    let mut by = Instant::now() + SILENCE;
+    loop {
+        let frame = timeout_at(by, body.frame()).await.map_err(|_| Broken::Silent)?;
+        let Ok(chunk) = frame.ok_or(Broken::Ended)??.into_data() else { continue };
+        objects.push(&chunk);
+        while let Some(piece) = objects.next()? {
+            by = Instant::now() + SILENCE;
+            match piece {
+                Piece::Object(object) => {
+                    let value: Value = serde_json::from_slice(&object)?;
+                    tell(News::List(List::from_value(&value).ok_or(Broken::NoList)?));
+                }
+                // Even where nothing changed, the module is owed an answer to its call.
+                Piece::Empty if first => tell(News::List(List::default())),
+                Piece::Empty => {}
+            }
+            first = false;
+        }
+        if objects.len() > LONGEST_LIST {
+            return Err(Broken::TooLong);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -88,6 +88,11 @@
         servers
     }
 
+    /// Sends to a server must have ended so long after it began to drain.
+    pub fn drain_grace(&self) -> Duration {
+        self.figures.drain_grace
+    }
+
     // The list.
 
     /// Takes over a list and puts it in the module's words.
