Hear the old place of discovery until the new one has told its list

Reason: a change is told when discovery has written it to the node.

Cause: `Driver::take`, `Msg::Discovery`, closed the old watch at once and dropped by its number what it had told: a drain that was written before or just as the signal came was lost until the new place's list, which may be seconds away. And a SIGHUP with the same address was ignored: where lists are pushed they count 4 s later, and a watch that had just fallen silent was found out after that.

Change: the old watch stays open and its lists count, without their revisions, until the new place has told a list or has failed so often that the module's pauses begin; from there on the old one's lists would pass for the answer that the module waits for. Where lists are pushed SIGHUP opens the watch anew whatever the address; where discovery is asked a live watch at the same address stays, as it is one service for all nodes.

--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -157,6 +157,8 @@
     /// The number of the present watch, and its task.
     watch: u64,
     watching: Option<AbortOnDrop>,
+    /// The watch at the place that discovery has left, until the new one has told its list.
+    left: Option<(u64, AbortOnDrop)>,
     /// Tries that a watch at a new address has left, until its first list.
     moved: u32,
     /// Weak: the driver ends when nobody else can send to it.
@@ -204,6 +206,7 @@
             revision: 0,
             watch: 0,
             watching: None,
+            left: None,
             moved: 0,
             tx: tx.downgrade(),
             meter,
@@ -284,6 +287,11 @@
                 self.events.push_back(Event::Probed { server, outcome, spent, load });
             }
             Msg::News { watch, news } if watch == self.watch => self.news(news),
+            Msg::News { watch, news: News::List(list) }
+                if self.left.as_ref().is_some_and(|(n, _)| *n == watch) =>
+            {
+                self.listed(&list);
+            }
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
             Msg::Members(list) => {
@@ -302,10 +310,14 @@
                 }
                 drop(reply.send(looks.into_iter().map(|(_, look)| look).collect()));
             }
-            Msg::Discovery(addr) if self.discovery == Some(addr) => {}
+            // Asked, discovery has many callers: a watch that is silent will be found out.
+            Msg::Discovery(addr) if self.discovery == Some(addr) && self.mode == Discovery::Ask => {}
             Msg::Discovery(addr) => {
                 // The list stays until the new place has told its own, whole: its revisions may count
-                // other changes.
+                // other changes. What the old one has written until then is told as well.
+                if self.moved == 0 {
+                    self.left = self.watching.take().map(|task| (self.watch, task));
+                }
                 (self.discovery, self.revision, self.moved) = (Some(addr), 0, MOVED_TRIES);
                 self.subscribe();
             }
@@ -363,8 +375,9 @@
             News::List(list) => {
                 self.revision = list.revision.unwrap_or(self.revision);
                 self.moved = 0;
-                let (kind, members) = self.servers.apply(&self.views.pass(&list));
-                self.events.push_back(Event::Sync { kind, members });
+                // An empty line is no list.
+                self.left.take_if(|_| list.revision.is_some());
+                self.listed(&list);
             }
             News::Failed => {
                 self.views.told(LISTED, Told::Lost);
@@ -374,6 +387,8 @@
                     self.due.insert(Due::Watch, MOVED_AGAIN);
                     return;
                 }
+                // What the old place tells must not pass for an answer of the new one.
+                self.left = None;
                 match self.mode {
                     Discovery::Ask => {
                         self.events.push_back(Event::Sync { kind: SyncKind::Failed, members: Vec::new() })
@@ -384,6 +399,11 @@
         }
     }
 
+    fn listed(&mut self, list: &List) {
+        let (kind, members) = self.servers.apply(&self.views.pass(list));
+        self.events.push_back(Event::Sync { kind, members });
+    }
+
     /// Hands the module what has come and carries out what it says, until all is quiet.
     fn settle(&mut self) {
         let mut actions = Vec::new();
--- /dev/null
+++ b/crates/node/tests/watches.rs
@@ -0,0 +1,128 @@
+//! What may come between a watch, a signal and the list: the node as a process, at scripted instants.
+
+mod common;
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+
+/// The list on which the first server drains.
+fn drains(site: &Site, complete: bool) -> String {
+    let mut members = site.members.clone();
+    members[0]["phase"] = json!("terminating");
+    json!({"revision": 50, "complete": complete, "members": members}).to_string() + "\n"
+}
+
+/// Whether requests for many keys all go elsewhere than to the first server.
+fn leaves_first(site: &Site) -> bool {
+    site.requests();
+    let keys = (0..16).map(|n| format!("k{n}"));
+    keys.for_each(|key| assert_eq!(site.raw(&request_of(&key, "pay", &key, 60_000)).status(), 200));
+    site.requests().iter().all(|(server, _)| *server == 1)
+}
+
+/// Discovery that takes a call and says nothing: the call, once it is there.
+fn mute() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    (listener.local_addr().unwrap(), listener)
+}
+
+fn call(listener: &TcpListener) -> (Message, TcpStream) {
+    let (stream, _) = listener.accept().unwrap();
+    (Message::read(&mut BufReader::new(stream.try_clone().unwrap())).expect("a call"), stream)
+}
+
+// What discovery has written to the node is told: also on a watch that SIGHUP has just bidden it leave.
+#[test]
+fn what_the_old_place_tells_counts_until_the_new_one_has_told_its_list() {
+    let mut site = Site::new(2);
+    let (_, mut old) = site.watch();
+    let (addr, listener) = mute();
+    site.config["discovery"] = json!(addr.to_string());
+    site.reload(&site.config.to_string());
+    // Its call stands for the moment after the move: the drain comes behind it on any machine.
+    let (request, mut new) = call(&listener);
+    assert!(request.first.contains("index=0 "), "{}", request.first);
+    chunk(&mut old, &drains(&site, false));
+    until("the draining server is left alone", || leaves_first(&site));
+    // Once the new place has told its list, the old one counts no more.
+    let list = json!({"revision": 7, "complete": true, "members": site.members}).to_string();
+    write!(new, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    chunk(&mut new, &list);
+    until("the new place's list is in force", || !leaves_first(&site));
+    assert_eq!(old.read(&mut [0]).unwrap_or(0), 0, "the old watch is closed");
+}
+
+// A silent watch on pushed lists, and a new configuration that names the same agent: 4 s later its list counts.
+#[test]
+fn sighup_opens_the_watch_on_pushed_lists_anew_at_the_same_address() {
+    let site =
+        Site::configured(2, json!({"sockets": 256}), |settings| settings["registry-mode"] = json!("push"));
+    let (_, _silent) = site.watch();
+    site.reload(&site.config.to_string());
+    let (request, mut stream) = site.watch();
+    assert!(request.first.contains("index=0 "), "{}", request.first);
+    chunk(&mut stream, &drains(&site, true));
+    until("the draining server is left alone", || leaves_first(&site));
+}
+
+// Asked, it is one service for all nodes: a live watch is not opened anew for nothing.
+#[test]
+fn sighup_with_the_same_address_keeps_the_watch_where_discovery_is_asked() {
+    let site = Site::new(2);
+    let (_, mut stream) = site.watch();
+    site.reload(&site.config.to_string());
+    chunk(&mut stream, &drains(&site, false));
+    until("the draining server is left alone", || leaves_first(&site));
+    assert!(site.watches.try_recv().is_err());
+}
+
+// The list of the old place comes in half, the signal, then the rest: it is whole and counts.
+#[test]
+fn a_list_that_is_half_way_when_the_signal_comes_is_read_to_its_end() {
+    let mut site = Site::new(2);
+    let (_, mut old) = site.watch();
+    let list = drains(&site, false);
+    let (half, rest) = list.split_at(list.len() / 2);
+    chunk(&mut old, half);
+    let (addr, listener) = mute();
+    site.config["discovery"] = json!(addr.to_string());
+    site.reload(&site.config.to_string());
+    let (_, _new) = call(&listener);
+    chunk(&mut old, rest);
+    until("the draining server is left alone", || leaves_first(&site));
+}
+
+// The old place's list must not pass for an answer of the new one: the module would wait for ever for a watch.
+#[test]
+fn the_old_place_does_not_keep_the_node_from_asking_the_new_one() {
+    /// The driver's own tries at a new place, before the module's pauses.
+    const TRIES: usize = 41;
+    let mut site = Site::new(2);
+    let (_, old) = site.watch();
+    let (addr, listener) = mute();
+    site.config["discovery"] = json!(addr.to_string());
+    site.reload(&site.config.to_string());
+    let list = json!({"complete": false, "members": []}).to_string();
+    let text = format!("{:x}\r\n{list}\r\n", list.len());
+    let (done, ended) = channel::<()>();
+    let writer = thread::spawn(move || {
+        let mut old = old;
+        while ended.recv_timeout(Duration::from_millis(5)).is_err() {
+            let _ = old.write_all(text.as_bytes());
+        }
+    });
+    listener.set_nonblocking(true).unwrap();
+    let mut calls = 0;
+    until("the node asks again, behind its own tries", || {
+        calls += usize::from(listener.accept().is_ok());
+        calls > TRIES + 3
+    });
+    done.send(()).unwrap();
+    writer.join().unwrap();
+}
