--- /dev/null
+++ b/crates/node/tests/watches_crowd.rs
@@ -0,0 +1,99 @@
+//! A house full of clients, on a process that may hold no descriptor more than its configuration says.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::Duration;
+
+use common::*;
+use serde_json::{json, Value};
+
+/// The node's descriptors, by its configuration and by the system.
+const SOCKETS: usize = 64;
+/// What the node holds at least once the house is full.
+const FULL: usize = 40;
+
+/// A node whose process may hold that many descriptors and no more.
+fn bounded(config: &Value) -> Node {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    file.write_all(config.to_string().as_bytes()).unwrap();
+    let mut child = Command::new("sh")
+        .arg("-c")
+        .arg(format!("ulimit -n {SOCKETS}; exec \"$0\""))
+        .arg(env!("CARGO_BIN_EXE_woodgap"))
+        .env("BALANCER_CONFIG", file.path())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let addr = log
+        .by_ref()
+        .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
+        .unwrap();
+    thread::spawn(move || log.for_each(drop));
+    Node { child, addr, file }
+}
+
+fn descriptors(node: &Node) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count()
+}
+
+/// Clients that have all sent this and wait.
+fn crowd(node: &Node, size: usize, sends: &[u8]) -> Vec<TcpStream> {
+    let mut clients: Vec<TcpStream> = (0..size).map(|_| node.dial()).collect();
+    for client in &mut clients {
+        client.set_nonblocking(true).unwrap();
+        let _ = client.write_all(sends);
+    }
+    clients
+}
+
+// The watch breaks while every place is taken, and again while further clients stand at the door.
+#[test]
+fn a_full_house_never_keeps_the_node_from_its_watch() {
+    let site = Site::configured(2, json!({"sockets": SOCKETS}), |_| {});
+    let node = bounded(&site.config);
+    let (_, first) = site.watch();
+    let (_, second) = site.watch();
+    // Which of the two is this node's does not matter: both watches break.
+    // Whole requests, each of which holds a connection to a server as well, and halves of some that never end.
+    site.all_do(Does::Hold);
+    let (whole, half) = (request("pay", "1", 60_000), b"GET /api?key=1 HTTP/1.1\r\nHost: x\r\n");
+    let mut crowds = vec![crowd(&node, SOCKETS, &whole), crowd(&node, 2 * SOCKETS, half)];
+    let full = || {
+        // The overflow says 503 and closes; the places are held by the rest.
+        let count = descriptors(&node);
+        assert!(count < SOCKETS, "{count} of {SOCKETS} descriptors");
+        count >= FULL
+    };
+    until("the house is full", full);
+    drop((first, second));
+    for round in 0..3 {
+        let mut streams = [site.watch().1, site.watch().1];
+        crowds.push(crowd(&node, 2 * SOCKETS, half));
+        let mut members = site.members.clone();
+        members[round % 2]["phase"] = json!("terminating");
+        let list = json!({"revision": 50 + round, "complete": true, "members": members}).to_string();
+        streams.iter_mut().for_each(|stream| chunk(stream, &format!("{list}\n")));
+        assert!(descriptors(&node) < SOCKETS, "{}", descriptors(&node));
+    }
+    // Its last list left the first server out of use: read through the crowd, and in force once that is gone.
+    site.all_do(Does::Serve);
+    drop(crowds);
+    let answered = |n: usize| {
+        let mut stream = node.dial();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let key = format!("c{n}");
+        let _ = stream.write_all(&request_of(&key, "pay", &key, 60_000));
+        let mut text = String::new();
+        let _ = stream.take(12).read_to_string(&mut text);
+        text.ends_with(" 200")
+    };
+    until("the node serves again", || answered(0));
+    site.requests();
+    (0..16).for_each(|n| assert!(answered(n)));
+    assert!(site.requests().iter().all(|(server, _)| *server == 1));
+}
