--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -19,6 +19,7 @@
 use crate::peers::Peers;
 use crate::sources::discovery::List;
 use crate::sources::views::{believed, Views};
+use crate::sources::watch::{News, Pace};
 use crate::task::AbortOnDrop;
 use crate::upstream::servers::{Ended, Servers, TIDY};
 use held::{number, Held};
@@ -48,11 +49,14 @@
     /// What discovery told; lists that come as [`Msg::Members`] are merged already.
     views: Views,
     mode: Discovery,
+    pace: Pace,
     max_attempts: usize,
     revision: u64,
     /// The number of the present watch, and its task.
     watch: u64,
     watching: Option<AbortOnDrop>,
+    /// The watch at the place that discovery has left, until the new one has told its list.
+    left: Option<(u64, AbortOnDrop)>,
     /// Tries that a watch at a new address has left, until its first list.
     moved: u32,
     /// Weak: the driver ends when nobody else can send to it.
@@ -86,6 +90,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
         Driver {
             balancer: Balancer::new(settings.clone(), seed),
+            pace: Pace::of(settings, servers.drain_grace()),
             clock: Clock { start: Instant::now(), unix },
             held: HashMap::new(),
             due: DelayQueue::new(),
@@ -99,6 +104,7 @@
             revision: 0,
             watch: 0,
             watching: None,
+            left: None,
             moved: 0,
             tx: tx.downgrade(),
             meter,
@@ -160,6 +166,11 @@
                 self.events.push_back(Event::Probed { server, outcome, spent, load });
             }
             Msg::News { watch, news } if watch == self.watch => self.news(news),
+            Msg::News { watch, news: News::List(list) }
+                if self.left.as_ref().is_some_and(|(n, _)| *n == watch) =>
+            {
+                self.listed(&list);
+            }
             Msg::News { .. } => {}
             Msg::Peer { from, data } => self.events.push_back(Event::Peer { from, data }),
             Msg::Members(list) => {
--- a/crates/node/src/pool/driver/messages.rs
+++ b/crates/node/src/pool/driver/messages.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 use woodgap_decisions::{ClassId, Key, Micros, ServerId, TenantId};
 
-use crate::sources::discovery::{List, News};
+use crate::sources::discovery::List;
+use crate::sources::watch::News;
 use crate::upstream::exchange::Call;
 use crate::upstream::look::Look;
 use crate::upstream::servers::Ended;
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 use woodgap_decisions::settings::{kind_of, zone_of};
@@ -68,6 +69,11 @@
         servers
     }
 
+    /// Sends to a server must have ended so long after it began to drain.
+    pub fn drain_grace(&self) -> Duration {
+        self.figures.drain_grace
+    }
+
     // The list.
 
     /// Takes over a list and puts it in the module's words.
