A keyed repeat is over before its window ends

`may_send` compared the moment of the decision with the window of the first attempt that may have run. The node writes a repeat only once it has a connection, which may take the dial's time and another round after a change of the list, and the time-out that came with the repeat was what the request had left: with a window shorter than the deadline the repeat could be written after the window.

`attempts_end` now says when the next attempt has to be over (0 where none is lawful), and both `may_send` and `attempt_limit` go by it. Nothing is written after an attempt's time-out on any path of the node (`Servers::attempt` and `attempt3` look at the clock before they write, and write under it), so the wiring, the interface and simhost's wire stay as they are. Weighed against refusing repeats within a dial's time of the end: that costs the repeats that find an idle connection, and doesn't hold where a second round dials again.

--- a/crates/decisions/src/brain/retry.rs
+++ b/crates/decisions/src/brain/retry.rs
@@ -22,18 +22,20 @@
 
     pub(super) fn may_send(&self, pending: &Pending) -> bool {
         let out = pending.attempts.iter().any(|a| a.fate == Fate::Out);
-        if self.now >= pending.deadline
-            || pending.attempts.len() >= self.settings.max_attempts as usize
-            || (out && !self.settings.second_copies)
-        {
-            return false;
-        }
+        self.now < self.attempts_end(pending)
+            && pending.attempts.len() < self.settings.max_attempts as usize
+            && (self.settings.second_copies || !out)
+    }
+
+    /// When the next attempt has to be over; 0 where none is lawful. A keyed request that may have run is
+    /// repeated in its window alone, less a margin for the way: a repeat that waits for its connection is
+    /// written only then, and at the latest when its time is up.
+    pub(super) fn attempts_end(&self, pending: &Pending) -> Micros {
         let first = pending.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         match (self.settings.classes[pending.class].semantics, first) {
-            (Semantics::Safe, _) | (_, None) => true,
-            (Semantics::Unsafe, Some(_)) => false,
-            // A margin for the way to the server.
-            (Semantics::Keyed { ttl, .. }, Some(a)) => self.now < a.sent + ttl - ttl / 10,
+            (Semantics::Unsafe, Some(_)) => 0,
+            (Semantics::Keyed { ttl, .. }, Some(a)) => pending.deadline.min(a.sent + ttl - ttl / 10),
+            _ => pending.deadline,
         }
     }
 
@@ -46,18 +48,15 @@
 
     /// Time-out of the next attempt: what is left, less where a further one could follow.
     pub(super) fn attempt_limit(&self, pending: &Pending, target: usize) -> Micros {
-        let left = pending.deadline.saturating_sub(self.now).max(1);
+        let left = self.attempts_end(pending).saturating_sub(self.now).max(1);
         let last = pending.attempts.len() + 1 >= self.settings.max_attempts as usize
             || !self.has_next(pending, target);
         // Resends inside a small cell would crowd the neighbours of a slow server.
         let semantics = self.settings.classes[pending.class].semantics;
         let narrow = matches!(semantics, Semantics::Unsafe | Semantics::Keyed { scope: KeyScope::Cell, .. });
-        if last || narrow {
-            return left;
-        }
-        let late = (LATE * self.norms[pending.class].mean) as Micros;
+        let late = ((LATE * self.norms[pending.class].mean) as Micros).max(1);
         // A second attempt without time to be answered only wastes work.
-        [late.max(1), left][usize::from(late * 2 > left)]
+        [late, left][usize::from(last || narrow || late * 2 > left)]
     }
 
     /// Whether a server beside this one could take a further attempt. Where none could, an early time-out
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A node under test, and the short names that the tests use.
 #![allow(dead_code)]
 
+pub mod days;
+pub mod host;
+
 use woodgap_decisions::*;
 
 pub const SECOND: Micros = 1_000_000;
