--- a/crates/decisions/tests/cold_fleet.rs
+++ b/crates/decisions/tests/cold_fleet.rs
@@ -52,6 +52,19 @@
     }
 }
 
+// What all servers did is not what those that are left can do.
+#[test]
+fn a_fleet_that_shrinks_allows_a_cold_server_no_more() {
+    for (nodes, servers, capacity) in [(5, 40, 50.0), (20, 40, 100.0)] {
+        let case = Case {
+            multiple: 2.5,
+            lost: (servers * 3 / 4, 3 * SECOND),
+            ..Case::new(nodes, servers, capacity)
+        };
+        holds("shrinks", &Case { lasts: 5 * SECOND, ..case });
+    }
+}
+
 #[test]
 fn hundreds_of_nodes() {
     let case = Case { lasts: 6 * SECOND, ..Case::new(300, 60, 10.0) };
