Write no more of a request once nobody waits for it

A server begins a request with its last byte. Where a server reads slowly the rest of a long request waits in the library's connection, and where the settings allow no cancelling nothing ended the attempt: the rest followed after the client had left, or after another attempt had answered. The socket now asks before every write of a request (Wire::may_write), and the connection ends; the attempt counts as one that may have run.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -16,12 +16,11 @@
 use crate::upstream::servers::Servers;
 use crate::upstream::wire::Leave;
 
+pub use crate::upstream::wire::Awaited;
+
 /// How many connections one attempt tries: each further one only where nothing went out on the one before.
 const MOST_LINKS: usize = 4;
 
-/// Whether an answer is still waited for: its client is there, and no other attempt has brought one.
-pub type Awaited = Rc<dyn Fn() -> bool>;
-
 /// How an attempt ended.
 pub struct Ended {
     pub outcome: Outcome,
@@ -190,11 +189,12 @@
 
     /// Whether a request may still go to a server as it was when its connection was opened.
     fn leave(self: &Rc<Self>, server: ServerId, epoch: u64, until: Instant, awaited: &Awaited) -> Leave {
-        let (servers, awaited) = (self.clone(), awaited.clone());
-        Box::new(move || {
+        let (servers, go_on, awaited) = (self.clone(), awaited.clone(), awaited.clone());
+        let begin = Box::new(move || {
             let same = servers.address(server).is_some_and(|(_, now)| now == epoch);
             same && Instant::now() < until && awaited()
-        })
+        });
+        Leave { begin, go_on }
     }
 
     /// Probes a server.
--- a/crates/node/src/upstream/wire.rs
+++ b/crates/node/src/upstream/wire.rs
@@ -13,9 +13,17 @@
 
 use crate::task::Permit;
 
-/// Whether a request may go out. Asked between the system's word that the socket can be written and the first write:
-/// the library's task runs turns after the attempt's, and the client, the list or the time may have changed between.
-pub type Leave = Box<dyn Fn() -> bool>;
+/// Whether an answer is still waited for: its client is there, and no other attempt has brought one.
+pub type Awaited = Rc<dyn Fn() -> bool>;
+
+/// Whether a request may go out. Asked between the system's word that the socket can be written and the write: the
+/// library's task runs turns after the attempt's, and the client, the list or the time may have changed between.
+pub struct Leave {
+    /// For its first byte.
+    pub begin: Box<dyn Fn() -> bool>,
+    /// For what comes after it: a server begins a request with its last byte.
+    pub go_on: Awaited,
+}
 
 /// A socket that the library's connection reads and the node looks at before it is used again.
 pub(super) struct Wire {
@@ -25,7 +33,9 @@
     /// Whether anything came since the request was written.
     heard: Cell<bool>,
     /// How much may come for the request that is to be written, and its leave; gone with the first byte.
-    waiting: RefCell<Option<(usize, Leave)>>,
+    waiting: RefCell<Option<(usize, Box<dyn Fn() -> bool>)>>,
+    /// The leave for the rest of the request.
+    go_on: RefCell<Option<Awaited>>,
     /// Whether all that the library had to write is written.
     flushed: Cell<bool>,
     /// Its place among the descriptors, for as long as the socket is open.
@@ -39,6 +49,7 @@
             left: Cell::new(0),
             heard: Cell::new(false),
             waiting: RefCell::default(),
+            go_on: RefCell::default(),
             flushed: Cell::new(false),
             _permit: permit,
         })
@@ -49,13 +60,14 @@
         self.heard.set(false);
         self.flushed.set(false);
         self.left.set(0);
-        *self.waiting.borrow_mut() = Some((most, leave));
+        *self.waiting.borrow_mut() = Some((most, leave.begin));
+        *self.go_on.borrow_mut() = Some(leave.go_on);
     }
 
     /// The request is over, answered or not.
     pub(super) fn end(&self) {
         self.left.set(0);
-        *self.waiting.borrow_mut() = None;
+        (*self.waiting.borrow_mut(), *self.go_on.borrow_mut()) = (None, None);
     }
 
     /// Whether the request has not gone out, not one byte of it.
@@ -81,9 +93,12 @@
         nothing.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether the first byte of the request that waits may be written.
-    fn may_begin(&self) -> bool {
-        self.waiting.borrow().as_ref().is_some_and(|(_, leave)| self.is_quiet() && leave())
+    /// Whether the request may be written, or the rest of it.
+    fn may_write(&self) -> bool {
+        match &*self.waiting.borrow() {
+            Some((_, begin)) => self.is_quiet() && begin(),
+            None => self.go_on.borrow().as_ref().is_none_or(|go_on| go_on()),
+        }
     }
 
     /// The first byte of the request is written: from here on its answer may come.
@@ -126,7 +141,7 @@
         let wire = &self.0;
         loop {
             ready!(wire.stream.poll_write_ready(cx))?;
-            if wire.is_unsent() && !wire.may_begin() {
+            if !wire.may_write() {
                 return Poll::Ready(Err(io::Error::other("the request may not go out any more")));
             }
             match write(&wire.stream) {
