Name the question that a request's first byte is asked

The type of Wire::waiting was too long for clippy; the question has a name now. Clippy and rustdoc pass with and without the default features.

--- a/crates/node/src/upstream/wire.rs
+++ b/crates/node/src/upstream/wire.rs
@@ -16,11 +16,14 @@
 /// Whether an answer is still waited for: its client is there, and no other attempt has brought one.
 pub type Awaited = Rc<dyn Fn() -> bool>;
 
+/// Whether a request may begin.
+pub type Begin = Box<dyn Fn() -> bool>;
+
 /// Whether a request may go out. Asked between the system's word that the socket can be written and the write: the
 /// library's task runs turns after the attempt's, and the client, the list or the time may have changed between.
 pub struct Leave {
     /// For its first byte.
-    pub begin: Box<dyn Fn() -> bool>,
+    pub begin: Begin,
     /// For what comes after it: a server begins a request with its last byte.
     pub go_on: Awaited,
 }
@@ -33,7 +36,7 @@
     /// Whether anything came since the request was written.
     heard: Cell<bool>,
     /// How much may come for the request that is to be written, and its leave; gone with the first byte.
-    waiting: RefCell<Option<(usize, Box<dyn Fn() -> bool>)>>,
+    waiting: RefCell<Option<(usize, Begin)>>,
     /// The leave for the rest of the request.
     go_on: RefCell<Option<Awaited>>,
     /// Whether all that the library had to write is written.
