Do not end the process over a connection that still waits to be accepted

Reason: a request counts as taken once it is written to a connection that the system has accepted.

Cause: shutdown.rs `drain` returned in the moment in which no connection was left in its table. One in the backlog, one that waited for its place (`place`) and one in its TLS handshake were not in it, and the listener closed over them.

Change: each accepted connection counts from the acceptor's first line, and the node ends only where none is left after 5 ms in which the acceptor had its turn. Out of descriptors, `accept` frees one that lingers, an idle one to a server or one that a client can spare, in this order; so far only those to servers. A connection that was reset in the backlog (ECONNABORTED) costs neither a pause nor a connection.

The order at EMFILE has no test.

--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -45,6 +45,8 @@
     pub(super) next_id: Cell<u64>,
     pub(super) next_conn: Cell<u64>,
     pub(super) conns: RefCell<HashMap<u64, Rc<Conn>>>,
+    /// Held once more by each connection that was accepted, from the first moment.
+    pub(super) accepted: Rc<()>,
     pub(super) draining: Cell<bool>,
     /// Set once idle connections are to go as well.
     pub(super) closing: Cell<bool>,
@@ -72,6 +74,7 @@
             next_id: Cell::new(1),
             next_conn: Cell::new(0),
             conns: RefCell::default(),
+            accepted: Rc::default(),
             draining: Cell::new(false),
             closing: Cell::new(false),
             ends: Cell::new(None),
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
@@ -55,16 +56,23 @@
         loop {
             match listener.accept().await {
                 Ok((stream, address)) => {
+                    let accepted = self.accepted.clone();
                     let _ = stream.set_nodelay(true);
                     let (permits, refuse) = self.place().await;
                     let peer = Peer::at(address);
-                    spawn_local(self.clone().shake(stream, peer, permits, refuse, door.clone()));
+                    let served = self.clone().shake(stream, peer, permits, refuse, door.clone());
+                    spawn_local(async move {
+                        served.await;
+                        drop(accepted);
+                    });
                 }
+                // It ended while it waited to be accepted: the next one has not.
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
                 Err(error) => {
                     // Out of descriptors, accept fails at once and the connection stays: without
                     // a pause this loop would take the core that could close some.
                     tracing::info!("accept: {error}");
-                    self.sockets.evict();
+                    let _ = self.end_one() || self.sockets.evict() || self.evict();
                     sleep(Duration::from_millis(10)).await;
                 }
             }
--- a/crates/node/src/front/shutdown.rs
+++ b/crates/node/src/front/shutdown.rs
@@ -1,5 +1,6 @@
 //! From SIGTERM to the end of the process.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout, Instant};
@@ -12,6 +13,9 @@
 /// A request that is on its way when idle connections are closed, or the first of a connection, still gets this long
 /// to come: its client knows of no other connection to send it on again.
 const LAST_WORD: Duration = Duration::from_millis(250);
+/// The node ends once nothing has come for so long: what was written to a connection that the system has accepted
+/// counts as taken, and the acceptor gets its turn to take it up.
+const BACKLOG: Duration = Duration::from_millis(5);
 
 impl Clients {
     /// After SIGTERM: serves on while clients still come, then closes what is idle and returns
@@ -31,7 +35,11 @@
         // A client that trickles a request must not keep the node up: all that was taken has had
         // its answer by the longest deadline.
         let all_ended = async {
-            while !self.conns.borrow().is_empty() {
+            loop {
+                sleep(BACKLOG).await;
+                if self.conns.borrow().is_empty() && Rc::strong_count(&self.accepted) == 1 {
+                    break;
+                }
                 self.ended.notified().await;
             }
         };
--- a/crates/node/src/front/tests/ending.rs
+++ b/crates/node/src/front/tests/ending.rs
@@ -1,4 +1,9 @@
-//! Ends of connections.
+//! Ends of connections, and of the node.
+
+use std::future::Future;
+use std::io::{Read, Write};
+use std::pin::pin;
+use std::task::Poll;
 
 use tokio::task::LocalSet;
 
@@ -79,3 +84,26 @@
         })
         .await;
 }
+
+// What was written to a connection that the system has accepted counts as taken, also if the node has not: it does not
+// end before it has looked.
+#[tokio::test]
+async fn the_node_does_not_end_over_a_connection_that_waits_to_be_accepted() {
+    LocalSet::new()
+        .run_until(async {
+            let rig = Rig::new(4, Bytes::from_static(b"ok")).await;
+            let mut drain = pin!(rig.clients.drain());
+            let begun = std::future::poll_fn(|cx| Poll::Ready(drain.as_mut().poll(cx).is_pending())).await;
+            assert!(begun);
+            after(Duration::from_millis(601)).await;
+            let mut late = std::net::TcpStream::connect(rig.addr).unwrap();
+            late.write_all(&request("late", "")).unwrap();
+            drain.await;
+            assert_eq!(*rig.taken.borrow(), ["late"]);
+            late.set_nonblocking(true).unwrap();
+            let mut said = [0; 512];
+            let length = late.read(&mut said).unwrap();
+            assert!(said[..length].ends_with(b"ok"), "{}", String::from_utf8_lossy(&said[..length]));
+        })
+        .await;
+}
