Forget what tells of a cancelled HTTP/3 stream with the stream itself, not by age

Reason: a client that cancels its request has gone; nothing may begin for it from then on.

Cause: quic.rs, Stops::put kept what tells of a STOP_SENDING for 256 streams and forgot the oldest, as entries of streams whose heads could not be read were never taken out. With 256 of these behind it, a request whose head came late had nothing that told of its cancellation: its attempt went on, and further ones would have, up to its deadline.

Change: an entry goes with the sending half of its stream, so there are as many as streams are open, and no bound by age.

Seen to fail without it: leave_hosted.rs a_request_of_http3_whose_head_came_late_is_withdrawn_as_any, "its attempt ends", after 30 s.

The unit test streams_that_nobody_asks_for_are_forgotten asserted the fault (that the entry of the first of 10,000 streams is gone though its stream may be open).

--- a/crates/node/src/quic.rs
+++ b/crates/node/src/quic.rs
@@ -4,48 +4,24 @@
 //!   while a server still works on it; `h3-quinn` keeps that to itself until something is written;
 //! - a stream that is being read may be given up; `h3-quinn` 0.0.10 panics then, as the read has the stream.
 
-use std::collections::BTreeMap;
+mod stops;
+mod streams;
+
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Buf;
 use h3::error::Code;
-use h3::quic::{self, ConnectionErrorIncoming, StreamErrorIncoming, StreamId, WriteBuf};
-use quinn::{ConnectionError, ReadError, VarInt, WriteError};
+use h3::quic::{self, ConnectionErrorIncoming, StreamErrorIncoming, StreamId};
+use quinn::{ConnectionError, VarInt};
 
-/// Bytes that are read of a stream at a time.
-const READ: usize = 4_096;
+pub use stops::Stops;
+pub use streams::{Both, Receive, Send};
 
 type Boxed<T> = Pin<Box<dyn Future<Output = T> + std::marker::Send>>;
 
-/// Done when the client wants the answer no more.
-pub type Stopped = Boxed<()>;
-
-/// The streams of a connection whose client may yet give them up, by their ids.
-#[derive(Clone, Default)]
-pub struct Stops(Arc<Mutex<BTreeMap<u64, Stopped>>>);
-
-/// Streams that are remembered without a request that was read on them, at most; the oldest are forgotten.
-const MOST_UNREAD: usize = 256;
-
-impl Stops {
-    fn put(&self, id: StreamId, stopped: Stopped) {
-        let mut stops = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        stops.insert(id.into_inner(), stopped);
-        // Of those that were rejected or could not be read nobody asks.
-        while stops.len() > MOST_UNREAD {
-            stops.pop_first();
-        }
-    }
-
-    /// What tells of one stream; it is there once.
-    pub fn take(&self, id: StreamId) -> Option<Stopped> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&id.into_inner())
-    }
-}
-
 fn id(id: quinn::StreamId) -> StreamId {
     // Every id of QUIC is one of HTTP/3: both are below 2^62.
     u64::from(id).try_into().expect("an id of QUIC is below 2^62")
@@ -135,17 +111,8 @@
             Box::pin(async move { conn.accept_bi().await }) as Boxed<_>
         };
         let (send, receive) = ready!(drive(&mut self.accepting, cx, begin)).map_err(lost)?;
-        let stopped = send.stopped();
-        self.stops.put(
-            id(send.id()),
-            Box::pin(async move {
-                // All was acknowledged: there is nothing left to give up.
-                if let Ok(None) = stopped.await {
-                    std::future::pending::<()>().await;
-                }
-            }),
-        );
-        Poll::Ready(Ok(Both { send: Send::new(send), receive: Receive(receive) }))
+        let listed = self.stops.list(&send);
+        Poll::Ready(Ok(Both { send: Send::listed(send, listed), receive: Receive(receive) }))
     }
 
     fn opener(&self) -> Open {
@@ -197,162 +164,3 @@
         self.conn.close(VarInt::from_u64(code.value()).unwrap_or(VarInt::MAX), reason);
     }
 }
-
-/// A stream both ways.
-pub struct Both<B> {
-    send: Send<B>,
-    receive: Receive,
-}
-
-impl<B: Buf> quic::BidiStream<B> for Both<B> {
-    type SendStream = Send<B>;
-    type RecvStream = Receive;
-
-    fn split(self) -> (Send<B>, Receive) {
-        (self.send, self.receive)
-    }
-}
-
-impl<B: Buf> quic::RecvStream for Both<B> {
-    type Buf = Bytes;
-
-    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamErrorIncoming>> {
-        self.receive.poll_data(cx)
-    }
-
-    fn stop_sending(&mut self, error_code: u64) {
-        self.receive.stop_sending(error_code);
-    }
-
-    fn recv_id(&self) -> StreamId {
-        self.receive.recv_id()
-    }
-}
-
-impl<B: Buf> quic::SendStream<B> for Both<B> {
-    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
-        self.send.poll_ready(cx)
-    }
-
-    fn send_data<T: Into<WriteBuf<B>>>(&mut self, data: T) -> Result<(), StreamErrorIncoming> {
-        self.send.send_data(data)
-    }
-
-    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
-        self.send.poll_finish(cx)
-    }
-
-    fn reset(&mut self, reset_code: u64) {
-        self.send.reset(reset_code);
-    }
-
-    fn send_id(&self) -> StreamId {
-        self.send.send_id()
-    }
-}
-
-/// The receiving side of a stream.
-pub struct Receive(quinn::RecvStream);
-
-impl quic::RecvStream for Receive {
-    type Buf = Bytes;
-
-    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamErrorIncoming>> {
-        let mut data = BytesMut::zeroed(READ);
-        let read = match ready!(self.0.poll_read(cx, &mut data)) {
-            Ok(read) => read,
-            Err(ReadError::Reset(code)) => {
-                return Poll::Ready(Err(StreamErrorIncoming::StreamTerminated {
-                    error_code: code.into_inner(),
-                }))
-            }
-            Err(ReadError::ConnectionLost(error)) => return Poll::Ready(Err(cut(error))),
-            Err(other) => return Poll::Ready(Err(StreamErrorIncoming::Unknown(Box::new(other)))),
-        };
-        data.truncate(read);
-        Poll::Ready(Ok((read > 0).then(|| data.freeze())))
-    }
-
-    fn stop_sending(&mut self, error_code: u64) {
-        // One that has ended by itself has nothing to stop.
-        let _ = self.0.stop(VarInt::from_u64(error_code).unwrap_or(VarInt::MAX));
-    }
-
-    fn recv_id(&self) -> StreamId {
-        id(self.0.id())
-    }
-}
-
-/// The sending side of a stream.
-pub struct Send<B> {
-    stream: quinn::SendStream,
-    /// What is being written.
-    writing: Option<WriteBuf<B>>,
-}
-
-impl<B> Send<B> {
-    fn new(stream: quinn::SendStream) -> Self {
-        Send { stream, writing: None }
-    }
-}
-
-impl<B: Buf> quic::SendStream<B> for Send<B> {
-    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
-        while let Some(data) = &mut self.writing {
-            if !data.has_remaining() {
-                self.writing = None;
-                break;
-            }
-            match ready!(Pin::new(&mut self.stream).poll_write(cx, data.chunk())) {
-                Ok(written) => data.advance(written),
-                Err(WriteError::Stopped(code)) => {
-                    let error_code = code.into_inner();
-                    return Poll::Ready(Err(StreamErrorIncoming::StreamTerminated { error_code }));
-                }
-                Err(WriteError::ConnectionLost(error)) => return Poll::Ready(Err(cut(error))),
-                Err(other) => return Poll::Ready(Err(StreamErrorIncoming::Unknown(Box::new(other)))),
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
-
-    fn send_data<T: Into<WriteBuf<B>>>(&mut self, data: T) -> Result<(), StreamErrorIncoming> {
-        if self.writing.is_some() {
-            return Err(StreamErrorIncoming::Unknown("data before the last was written".into()));
-        }
-        self.writing = Some(data.into());
-        Ok(())
-    }
-
-    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
-        ready!(self.poll_ready(cx))?;
-        Poll::Ready(self.stream.finish().map_err(|error| StreamErrorIncoming::Unknown(Box::new(error))))
-    }
-
-    fn reset(&mut self, reset_code: u64) {
-        // One that has ended by itself has nothing to reset.
-        let _ = self.stream.reset(VarInt::from_u64(reset_code).unwrap_or(VarInt::MAX));
-    }
-
-    fn send_id(&self) -> StreamId {
-        id(self.stream.id())
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    // A client whose streams are all rejected, or never bear a head that can be read.
-    #[test]
-    fn streams_that_nobody_asks_for_are_forgotten() {
-        let stops = Stops::default();
-        let id = |n: u64| StreamId::try_from(4 * n).unwrap();
-        for n in 0..10_000 {
-            stops.put(id(n), Box::pin(std::future::pending()));
-        }
-        assert_eq!(stops.0.lock().unwrap().len(), MOST_UNREAD);
-        assert!(stops.take(id(9_999)).is_some() && stops.take(id(9_999)).is_none());
-        assert!(stops.take(id(0)).is_none());
-    }
-}
--- /dev/null
+++ b/crates/node/src/quic/streams.rs
@@ -0,0 +1,161 @@
+//! Streams, each way and both ways.
+
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+
+use bytes::{Buf, Bytes, BytesMut};
+use h3::quic::{self, StreamErrorIncoming, StreamId, WriteBuf};
+use quinn::{ReadError, VarInt, WriteError};
+
+use super::stops::Listed;
+use super::{cut, id};
+
+/// Bytes that are read of a stream at a time.
+const READ: usize = 4_096;
+
+/// A stream both ways.
+pub struct Both<B> {
+    pub(super) send: Send<B>,
+    pub(super) receive: Receive,
+}
+
+impl<B: Buf> quic::BidiStream<B> for Both<B> {
+    type SendStream = Send<B>;
+    type RecvStream = Receive;
+
+    fn split(self) -> (Send<B>, Receive) {
+        (self.send, self.receive)
+    }
+}
+
+impl<B: Buf> quic::RecvStream for Both<B> {
+    type Buf = Bytes;
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamErrorIncoming>> {
+        self.receive.poll_data(cx)
+    }
+
+    fn stop_sending(&mut self, error_code: u64) {
+        self.receive.stop_sending(error_code);
+    }
+
+    fn recv_id(&self) -> StreamId {
+        self.receive.recv_id()
+    }
+}
+
+impl<B: Buf> quic::SendStream<B> for Both<B> {
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        self.send.poll_ready(cx)
+    }
+
+    fn send_data<T: Into<WriteBuf<B>>>(&mut self, data: T) -> Result<(), StreamErrorIncoming> {
+        self.send.send_data(data)
+    }
+
+    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        self.send.poll_finish(cx)
+    }
+
+    fn reset(&mut self, reset_code: u64) {
+        self.send.reset(reset_code);
+    }
+
+    fn send_id(&self) -> StreamId {
+        self.send.send_id()
+    }
+}
+
+/// The receiving side of a stream.
+pub struct Receive(pub(super) quinn::RecvStream);
+
+impl quic::RecvStream for Receive {
+    type Buf = Bytes;
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, StreamErrorIncoming>> {
+        let mut data = BytesMut::zeroed(READ);
+        let read = match ready!(self.0.poll_read(cx, &mut data)) {
+            Ok(read) => read,
+            Err(ReadError::Reset(code)) => {
+                return Poll::Ready(Err(StreamErrorIncoming::StreamTerminated {
+                    error_code: code.into_inner(),
+                }))
+            }
+            Err(ReadError::ConnectionLost(error)) => return Poll::Ready(Err(cut(error))),
+            Err(other) => return Poll::Ready(Err(StreamErrorIncoming::Unknown(Box::new(other)))),
+        };
+        data.truncate(read);
+        Poll::Ready(Ok((read > 0).then(|| data.freeze())))
+    }
+
+    fn stop_sending(&mut self, error_code: u64) {
+        // One that has ended by itself has nothing to stop.
+        let _ = self.0.stop(VarInt::from_u64(error_code).unwrap_or(VarInt::MAX));
+    }
+
+    fn recv_id(&self) -> StreamId {
+        id(self.0.id())
+    }
+}
+
+/// The sending side of a stream.
+pub struct Send<B> {
+    stream: quinn::SendStream,
+    /// What is being written.
+    writing: Option<WriteBuf<B>>,
+    _listed: Option<Listed>,
+}
+
+impl<B> Send<B> {
+    pub(super) fn new(stream: quinn::SendStream) -> Self {
+        Send { stream, writing: None, _listed: None }
+    }
+
+    /// One that its client may give up.
+    pub(super) fn listed(stream: quinn::SendStream, listed: Listed) -> Self {
+        Send { stream, writing: None, _listed: Some(listed) }
+    }
+}
+
+impl<B: Buf> quic::SendStream<B> for Send<B> {
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        while let Some(data) = &mut self.writing {
+            if !data.has_remaining() {
+                self.writing = None;
+                break;
+            }
+            match ready!(Pin::new(&mut self.stream).poll_write(cx, data.chunk())) {
+                Ok(written) => data.advance(written),
+                Err(WriteError::Stopped(code)) => {
+                    let error_code = code.into_inner();
+                    return Poll::Ready(Err(StreamErrorIncoming::StreamTerminated { error_code }));
+                }
+                Err(WriteError::ConnectionLost(error)) => return Poll::Ready(Err(cut(error))),
+                Err(other) => return Poll::Ready(Err(StreamErrorIncoming::Unknown(Box::new(other)))),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn send_data<T: Into<WriteBuf<B>>>(&mut self, data: T) -> Result<(), StreamErrorIncoming> {
+        if self.writing.is_some() {
+            return Err(StreamErrorIncoming::Unknown("data before the last was written".into()));
+        }
+        self.writing = Some(data.into());
+        Ok(())
+    }
+
+    fn poll_finish(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), StreamErrorIncoming>> {
+        ready!(self.poll_ready(cx))?;
+        Poll::Ready(self.stream.finish().map_err(|error| StreamErrorIncoming::Unknown(Box::new(error))))
+    }
+
+    fn reset(&mut self, reset_code: u64) {
+        // One that has ended by itself has nothing to reset.
+        let _ = self.stream.reset(VarInt::from_u64(reset_code).unwrap_or(VarInt::MAX));
+    }
+
+    fn send_id(&self) -> StreamId {
+        id(self.stream.id())
+    }
+}
--- a/crates/node/tests/leave_hosted.rs
+++ b/crates/node/tests/leave_hosted.rs
@@ -177,3 +177,31 @@
     }
     assert!(!late.was_reached());
 }
+
+// Streams that are given up before they say anything must not take the place of one whose head is still coming.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_of_http3_whose_head_came_late_is_withdrawn_as_any() {
+    // As many as a client may give up with nothing answered: `MOST_GIVEN_UP` of the node.
+    // As many as a client may give up with nothing answered, the node's `MOST_GIVEN_UP`.
+    const GIVEN_UP: u32 = 256;
+    let place = Place::start(Way { from3: true, to3: false }).await.unwrap();
+    let backend = Backend::start(Does::Hold).await.unwrap();
+    place.site.admin.tenant("acme", &spec(100_000), &[backend.addr]).await.unwrap();
+    let quic = connect(place.site.addr, &place).await;
+    let whole = http3::encoded(&Ask::lookup("acme", "late").within(NEVER)).unwrap();
+    let (mut send, mut receive) = quic.quic().open_bi().await.unwrap();
+    send.write_all(&whole[..1]).await.unwrap();
+    for _ in 0..GIVEN_UP {
+        let (mut send, mut receive) = quic.quic().open_bi().await.unwrap();
+        send.reset(0x10cu32.into()).unwrap();
+        receive.stop(0x10cu32.into()).unwrap();
+    }
+    // Streams are taken in their order: with the answer to this one all of them were.
+    let other = Ask { org: Some("nobody".into()), ..Ask::lookup("acme", "other") };
+    assert_eq!(quic.ask(&other).await.unwrap().status, 404);
+    send.write_all(&whole[1..]).await.unwrap();
+    send.finish().unwrap();
+    until("it is at the server", || async { backend.requests() == 1 }).await;
+    receive.stop(0x10cu32.into()).unwrap();
+    until("its attempt ends", || async { backend.connections() == 0 }).await;
+}
