--- a/crates/node/src/front/clients.rs
+++ b/crates/node/src/front/clients.rs
@@ -1,7 +1,7 @@
 //! What all client connections share, whatever they speak.
 //!
-//! Who gets a place and who gives way is settled in [`super::places`], one request's way in [`super::call`], what
-//! comes after SIGTERM in [`super::shutdown`].
+//! Who gets a place and who gives way is settled in `places`, one request's way in `call`, what
+//! comes after SIGTERM in `shutdown`.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
