Take bodies that come in chunks, and turn away only what may hide another request

Cause: front/request.rs turned every `Transfer-Encoding` away, as the library drops a `Content-Length` beside it without a trace, and such a request may hide another in its body. Change: `front/lengths.rs` counts the field's name in what the library reads and in what it shows of each head; chunks are taken where both counts agree, so that none was dropped, for one coding `chunked` with POST. All else gets 411 and a close as before; a body that names the field only makes the node more careful. Bodies go on with a length, as ever.

--- a/crates/node/src/front/call.rs
+++ b/crates/node/src/front/call.rs
@@ -15,7 +15,7 @@
 use woodgap_decisions::{ClassId, TenantId};
 
 use super::clients::{plain, Clients, OVERFULL};
-use super::conn::{Conn, Peer};
+use super::conn::Conn;
 use super::request::{drop_hop_headers, Fault, Head};
 use crate::meter::Meter;
 use crate::pool::driver::{Answer, Arrival, Msg};
@@ -57,7 +57,7 @@
                     meter.is_for(service.account.uid, service.weight.get());
                 }
                 let keep = self.sit(conn, &service);
-                let (mut response, keep) = match self.call(parts, body, body_by, &service, conn.peer).await {
+                let (mut response, keep) = match self.call(parts, body, body_by, &service, conn).await {
                     Ok(response) => (response, keep),
                     // Who sends what can't be used is not trusted with where its next request begins.
                     Err((status, why)) => (plain(status, why), false),
@@ -89,7 +89,7 @@
         body: B,
         body_by: Instant,
         service: &Rc<Service>,
-        _peer: Peer,
+        conn: &Conn,
     ) -> Result<Response<Full<Bytes>>, Fault>
     where
         B: Body<Data = Bytes>,
@@ -104,7 +104,8 @@
         let size = hint.lower();
         // One that does not say how long it is may be as long as any.
         let room = hint.upper().unwrap_or(LONGEST_BODY as u64).min(LONGEST_BODY as u64);
-        let head = Head::read(parts, size, &service.settings, &service.names, service.orgs)?;
+        let chunks = conn.lengths.chunks_alone(&parts);
+        let head = Head::read(parts, size, chunks, &service.settings, &service.names, service.orgs)?;
         let _place = match self.directory.hold(service, room) {
             Ok(place) => place,
             Err(turned) => {
@@ -163,7 +164,7 @@
         let answer = match gate {
             None => ask().await.0,
             Some((gate, keys)) => {
-                let key = keys.of(&call.headers, _peer, head.key);
+                let key = keys.of(&call.headers, conn.peer, head.key);
                 let asks = Asks { key, class: head.class, again: head.repeat, deadline };
                 match gate.through(asks, ask).await {
                     Through::Answered(answer) => answer,
--- a/crates/node/src/front/conn.rs
+++ b/crates/node/src/front/conn.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 use woodgap_tenancy::Uid;
 
+use super::lengths::Lengths;
 pub use super::peer::Peer;
 pub use super::phase::Phase;
 use crate::front::Seat;
@@ -39,6 +40,8 @@
     first_by: Instant,
     /// The tenant of its latest request, and its place among that tenant's connections.
     pub seat: RefCell<Option<(Uid, Seat)>>,
+    /// Lengths that its heads gave.
+    pub lengths: Lengths,
     /// Who is at the other end.
     pub peer: Peer,
 }
@@ -55,6 +58,7 @@
             close: Notify::new(),
             first_by: now + first,
             seat: RefCell::default(),
+            lengths: Lengths::default(),
             peer,
         })
     }
--- a/crates/node/src/front/http1.rs
+++ b/crates/node/src/front/http1.rs
@@ -8,10 +8,11 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::StatusCode;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now};
@@ -128,11 +129,12 @@
         // Until its first request nobody's: counted for no tenant that may be refused.
         let meter = self.directory.core().map(|core| Meter::new(core.clone(), NOBODY, 1));
         let (clients, state, turns) = (self.clone(), conn.clone(), meter.clone());
-        let service = service_fn(move |request| {
+        let service = service_fn(move |request: Request<Incoming>| {
             let (clients, state, turns) = (clients.clone(), state.clone(), turns.clone());
             let door = door.clone();
             async move {
                 let body_by = state.opened();
+                state.lengths.show(request.headers());
                 let (mut response, keep) = if refuse {
                     (clients.refusal(StatusCode::SERVICE_UNAVAILABLE, "refused\n", Some(OVERFULL)), false)
                 } else {
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -18,6 +18,7 @@
 pub mod http3;
 #[cfg(feature = "hosted")]
 pub mod keys;
+pub mod lengths;
 mod linger;
 mod peer;
 mod phase;
--- a/crates/node/src/front/request.rs
+++ b/crates/node/src/front/request.rs
@@ -43,20 +43,20 @@
 }
 
 impl Head {
-    /// Reads a head. `body` tells how much body there is at least, `orgs` whether `X-Org` names one of
-    /// the module's tenants.
+    /// Reads a head. `body` tells how much body there is at least, `chunks` whether it comes in chunks and surely has no
+    /// other length, `orgs` whether `X-Org` names one of the module's tenants.
     pub fn read(
         head: Parts,
         body: u64,
+        chunks: bool,
         settings: &Settings,
         names: &Names,
         orgs: bool,
     ) -> Result<Head, Fault> {
         let headers = &head.headers;
-        // The library drops a Content-Length beside it without a trace, so the two can't be told
-        // from one: such a request may hide another in its body.
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err((StatusCode::LENGTH_REQUIRED, "send a Content-Length, no Transfer-Encoding\n"));
+        // One that gives a length as well may hide another request in its body: see `Lengths`.
+        if headers.contains_key(header::TRANSFER_ENCODING) && !chunks {
+            return Err((StatusCode::LENGTH_REQUIRED, "send a Content-Length, or chunks alone\n"));
         }
         let twice = |count: usize| count > 1;
         if SINGLE.iter().any(|name| twice(headers.get_all(name).iter().count()))
--- a/crates/node/src/front/socket.rs
+++ b/crates/node/src/front/socket.rs
@@ -128,6 +128,7 @@
         let before = buf.filled().len();
         let ready = wire.poll_read(cx, buf);
         wire.asked = ready.is_pending();
+        wire.conn.lengths.read(&buf.filled()[before..]);
         if buf.filled().len() > before && wire.conn.idle().is_some() {
             wire.conn.enter(Phase::Head);
         }
