--- a/crates/node/src/front/lengths.rs
+++ b/crates/node/src/front/lengths.rs
@@ -37,7 +37,8 @@
                 (at, came) = (0, came + 1);
             }
         }
-        (self.at.set(at), self.came.set(came));
+        self.at.set(at);
+        self.came.set(came);
     }
 
     /// Takes a head as the library shows it.
