--- a/crates/node/tests/common/site.rs
+++ b/crates/node/tests/common/site.rs
@@ -29,9 +29,27 @@
 
 impl Node {
     pub fn start(config: &Value) -> Node {
+        Node::launch(Command::new(env!("CARGO_BIN_EXE_woodgap")), config)
+    }
+
+    /// One whose process may hold so many descriptors and no more.
+    pub fn bounded(config: &Value, descriptors: usize) -> Node {
+        let mut shell = Command::new("/bin/sh");
+        shell
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors}; exec \"$0\""))
+            .arg(env!("CARGO_BIN_EXE_woodgap"));
+        let node = Node::launch(shell, config);
+        let limits = std::fs::read_to_string(format!("/proc/{}/limits", node.child.id())).unwrap();
+        let open = limits.lines().find(|line| line.starts_with("Max open files")).unwrap();
+        assert_eq!(open.split_whitespace().nth(3), Some(descriptors.to_string().as_str()), "{open}");
+        node
+    }
+
+    fn launch(mut command: Command, config: &Value) -> Node {
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_woodgap"))
+        let mut child = command
             .env_clear()
             .env("BALANCER_CONFIG", file.path())
             .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
--- a/crates/node/tests/watches_crowd.rs
+++ b/crates/node/tests/watches_crowd.rs
@@ -2,41 +2,18 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::process::{Command, Stdio};
-use std::thread;
 use std::time::Duration;
 
 use common::*;
-use serde_json::{json, Value};
+use serde_json::json;
 
 /// The node's descriptors, by its configuration and by the system.
 const SOCKETS: usize = 64;
 /// What the node holds at least once the house is full.
 const FULL: usize = 40;
 
-/// A node whose process may hold that many descriptors and no more.
-fn bounded(config: &Value) -> Node {
-    let mut file = tempfile::NamedTempFile::new().unwrap();
-    file.write_all(config.to_string().as_bytes()).unwrap();
-    let mut child = Command::new("sh")
-        .arg("-c")
-        .arg(format!("ulimit -n {SOCKETS}; exec \"$0\""))
-        .arg(env!("CARGO_BIN_EXE_woodgap"))
-        .env("BALANCER_CONFIG", file.path())
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-    let addr = log
-        .by_ref()
-        .find_map(|line| line.unwrap().split_once("listens on ").map(|(_, addr)| addr.parse().unwrap()))
-        .unwrap();
-    thread::spawn(move || log.for_each(drop));
-    Node { child, addr, file }
-}
-
 fn descriptors(node: &Node) -> usize {
     std::fs::read_dir(format!("/proc/{}/fd", node.child.id())).unwrap().count()
 }
@@ -55,7 +32,7 @@
 #[test]
 fn a_full_house_never_keeps_the_node_from_its_watch() {
     let site = Site::configured(2, json!({"sockets": SOCKETS}), |_| {});
-    let node = bounded(&site.config);
+    let node = Node::bounded(&site.config, SOCKETS);
     let (_, first) = site.watch();
     let (_, second) = site.watch();
     // Which of the two is this node's does not matter: both watches break.
