Take back a failed multi of the stand-in service by an undo log, not by a copy of the tree

Each multi cloned the whole tree; ending a session scanned all nodes and all watches.

Primitive writes enter what they replaced in an undo log; ephemeral nodes and watches are indexed by session.

Tests: a failed multi against a copy of the tree (100 trees, 10,000 random multis), cost of a multi at 500 and 50,000 nodes, frames and answers that are too long.

--- a/crates/testkit/tests/coordination.rs
+++ b/crates/testkit/tests/coordination.rs
@@ -93,3 +93,32 @@
     .await;
     assert_eq!(other.list_children("/pool").await.unwrap(), ["s2"]);
 }
+
+// Administrator's Guide, `jute.maxbuffer`: what is longer is refused by ending the connection, on both sides.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_is_longer_than_the_services_buffer_ends_the_connection() {
+    let (service, cluster) = start().await;
+    let connector = || Client::connector().with_fail_eagerly().with_session_timeout(Duration::from_secs(4));
+    let client = within(connector().connect(&cluster)).await.unwrap();
+    let plain = CreateMode::Persistent.with_acls(Acls::anyone_all());
+    client.create("/long", b"", &plain).await.unwrap();
+    let longest = vec![b'x'; 0xf_ffff - 100];
+    client.set_data("/long", &longest, None).await.unwrap();
+    assert_eq!(client.get_data("/long").await.unwrap().0.len(), longest.len());
+    let longer = vec![b'x'; 0xf_ffff];
+    assert!(within(client.set_data("/long", &longer, None)).await.is_err());
+    // A list of children that no client could read.
+    let keeper = service.session();
+    let create = |path: String| woodgap_testkit::coordination::tree::Op::Create {
+        path,
+        data: Vec::new(),
+        acl: Vec::new(),
+        mode: Default::default(),
+    };
+    service.change(keeper, &create("/many".into())).unwrap();
+    for n in 0..5_000 {
+        service.change(keeper, &create(format!("/many/{n:0250}"))).unwrap();
+    }
+    let client = within(connector().connect(&cluster)).await.unwrap();
+    assert!(within(client.list_children("/many")).await.is_err());
+}
--- a/crates/testkit/tests/tree.rs
+++ b/crates/testkit/tests/tree.rs
@@ -100,3 +100,92 @@
     }
     assert_eq!(names, ["/pool/n-0000000000", "/pool/n-0000000002", "/pool/n-0000000004"]);
 }
+
+/// Everything of a tree that a client could read, and its number.
+fn dump(tree: &Tree, path: &str, into: &mut Vec<String>) {
+    let (data, stat) = tree.get(path).unwrap();
+    into.push(format!("{path} {data:?} {stat:?}"));
+    let (names, _) = tree.children(path).unwrap();
+    for name in names {
+        dump(tree, &format!("{}/{name}", path.trim_end_matches('/')), into);
+    }
+}
+
+fn all(tree: &Tree) -> Vec<String> {
+    let mut into = vec![format!("{}", tree.zxid())];
+    dump(tree, "/", &mut into);
+    into
+}
+
+/// An operation on one of a few paths, so that many of them meet.
+fn any_op(random: &mut impl FnMut(usize) -> usize) -> Op {
+    let paths = ["/pool", "/pool/a", "/pool/a/x", "/pool/b", "/pool/b/y", "/c"];
+    let path = paths[random(paths.len())].to_owned();
+    let version = random(4) as i32 - 1;
+    match random(4) {
+        0 => Op::Create {
+            path,
+            data: vec![random(256) as u8],
+            acl: Vec::new(),
+            mode: Mode { ephemeral: random(3) == 0, sequential: random(4) == 0 },
+        },
+        1 => Op::Delete { path, version },
+        2 => Op::Set { path, data: vec![random(256) as u8; random(3)], version },
+        _ => Op::Check { path, version },
+    }
+}
+
+// The undo log against a copy of the whole tree: a multi that fails leaves no trace, neither in what is read nor in what
+// goes with a session.
+#[test]
+fn a_multi_that_fails_is_taken_back_whole() {
+    let mut state = 7u64;
+    let mut random = |below: usize| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as usize % below
+    };
+    let (mut failed, mut made) = (0, 0);
+    for _ in 0..100 {
+        let (mut tree, first) = start();
+        let (second, ..) = tree.open(0, 6_000);
+        for now in 0..100 {
+            let session = if random(2) == 0 { first } else { second };
+            let ops: Vec<Op> = (0..1 + random(3)).map(|_| any_op(&mut random)).collect();
+            let before = tree.clone();
+            if tree.multi(now, session, &ops).is_ok() {
+                made += 1;
+                continue;
+            }
+            failed += 1;
+            assert_eq!(all(&tree), all(&before), "{ops:?}");
+            let (mut ended, mut expected) = (tree.clone(), before);
+            ended.end(second);
+            expected.end(second);
+            assert_eq!(all(&ended), all(&expected), "{ops:?}");
+        }
+    }
+    assert!(failed > 1_000 && made > 1_000, "{failed} failed, {made} were made");
+}
+
+/// The least time of many failing multis on a tree of so many nodes.
+fn least_time(nodes: i32) -> std::time::Duration {
+    let (mut tree, session) = start();
+    for n in 0..nodes {
+        tree.change(1, session, &create(&format!("/pool/{n:07}"), PLAIN)).unwrap();
+    }
+    let failing = [create("/pool/new", PLAIN), Op::Check { path: "/pool".into(), version: 1 }];
+    let once = |tree: &mut Tree| {
+        let start = std::time::Instant::now();
+        assert_eq!(tree.multi(2, session, &failing), Err((1, Code::BadVersion)));
+        start.elapsed()
+    };
+    (0..200).map(|_| once(&mut tree)).min().unwrap()
+}
+
+// A copy of the tree for each multi made the 8,000th write of a catalogue a thousand times as dear as its first: here it
+// would be a hundred times.
+#[test]
+fn a_multi_costs_what_it_touches() {
+    let (small, large) = (least_time(500), least_time(50_000));
+    assert!(large < small * 20, "{small:?} on 500 nodes, {large:?} on 50,000");
+}
