End a dial as its server goes, so that what waits for it is answered at once

Seen: of eleven failures the first four were refusals (503) 2 to 10 ms after the client's time, each of a request that waited for a connection to a server of a tenant deleted 1.7 s before. Nothing could be sent on that connection any more, so the request was given up on and yet answered at its deadline (attempt.rs: link() and attempt3() dialled on until the dial's own time was up).

Dialling ends where its server may be sent nothing new: gone, drained for longer than the grace, or another process (upstream/eligible.rs). The unit test hangs for 20 s without it; the suite's test asks now that the refusals come within 1 s of the delete.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -62,7 +62,11 @@
             let connected = until.min(Instant::now() + self.figures.dial_timeout);
             let authorities = self.authorities.borrow().clone();
             let shake = || authorities.config(&trust, addr);
-            let dialled = timeout_at(connected, shared.link(addr, shake, epoch, &self.sockets)).await;
+            let dialled = tokio::select! {
+                biased;
+                dialled = timeout_at(connected, shared.link(addr, shake, epoch, &self.sockets)) => dialled,
+                () = self.ineligible(server, epoch) => continue,
+            };
             let Ok(Ok(link)) = dialled else { break };
             // The list may have changed meanwhile, and the client left.
             match self.address(server) {
@@ -124,6 +128,8 @@
             let Some((addr, epoch)) = self.address(server) else { break };
             let (mut link, reused) = match self.link(server, addr, epoch, until).await {
                 Ok(link) => link,
+                // It is another process by now, which may be sent to.
+                Err(_) if self.address(server).is_some_and(|(_, now)| now != epoch) => continue,
                 Err(outcome) => return outcome.into(),
             };
             if !matches!(timeout_at(until, link.ready()).await, Ok(Ok(()))) {
@@ -171,7 +177,8 @@
         if awaited() { Outcome::ConnectFailed } else { Outcome::Moot }.into()
     }
 
-    /// A connection to a server, and whether it was used before.
+    /// A connection to a server, and whether it was used before. Dialling ends where nothing may be sent any more: a
+    /// request that waits for nothing is tried elsewhere or answered at once.
     async fn link(
         &self,
         server: ServerId,
@@ -183,8 +190,13 @@
             return Ok((link, true));
         }
         let connected = until.min(Instant::now() + self.figures.dial_timeout);
-        let dialled = timeout_at(connected, self.dial(addr, epoch)).await;
-        dialled.unwrap_or(Err(Outcome::ConnectFailed)).map(|link| (link, false))
+        tokio::select! {
+            biased;
+            dialled = timeout_at(connected, self.dial(addr, epoch)) => {
+                dialled.unwrap_or(Err(Outcome::ConnectFailed)).map(|link| (link, false))
+            }
+            () = self.ineligible(server, epoch) => Err(Outcome::ConnectFailed),
+        }
     }
 
     /// Whether a request may still go to a server as it was when its connection was opened.
--- a/crates/node/src/upstream/attempt/tests.rs
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -184,3 +184,41 @@
     };
     LocalSet::new().run_until(run).await;
 }
+
+/// A server whose queue of connections is full: a dial hangs.
+async fn deaf() -> (tokio::net::TcpListener, Vec<tokio::net::TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let mut queued = Vec::new();
+    let dial = || tokio::net::TcpStream::connect(listener.local_addr().unwrap());
+    while let Ok(Ok(stream)) = tokio::time::timeout(Duration::from_millis(300), dial()).await {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
+// It waited for its connection, here for 20 s, though nothing could be sent on it any more: a request that was given up on
+// was refused at its deadline and not at once.
+#[tokio::test]
+async fn a_dial_ends_with_its_servers_time() {
+    let run = async {
+        for state in [ServerState::Terminated, ServerState::Terminating] {
+            let (listener, _queued) = deaf().await;
+            let servers = servers(8);
+            let addr = listener.local_addr().unwrap();
+            let id = servers.apply(&list(addr, ServerState::InService, true)).1[0].server;
+            let (awaited, call) = (waits(), call());
+            let mut attempt = Box::pin(servers.attempt(id, &call, soon(), &awaited));
+            one_turn(&mut attempt).await;
+            // A list that says the same ends nothing.
+            servers.apply(&list(addr, ServerState::InService, true));
+            one_turn(&mut attempt).await;
+            servers.apply(&list(addr, state, false));
+            let ended = tokio::time::timeout(Duration::from_secs(10), attempt).await;
+            let outcome = ended.expect("long before the dial's time is up").outcome;
+            assert_eq!(outcome, Outcome::ConnectFailed, "{state:?}");
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 #[cfg(feature = "hosted")]
 pub mod control;
+mod eligible;
 pub mod exchange;
 #[cfg(feature = "hosted")]
 pub mod http3;
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use woodgap_decisions::settings::{kind_of, zone_of};
 use woodgap_decisions::{CellId, Member, ServerId, ServerState, SyncKind};
@@ -49,6 +50,8 @@
     pub(super) entries: RefCell<HashMap<ServerId, Entry>>,
     pub(super) names: RefCell<HashMap<u32, String>>,
     pub(super) epochs: Cell<u64>,
+    /// Told of each list that was taken over.
+    pub(super) changed: Notify,
     #[cfg(feature = "hosted")]
     pub(super) authorities: RefCell<std::sync::Arc<http3::Authorities>>,
 }
@@ -62,6 +65,7 @@
             entries: RefCell::default(),
             names: RefCell::default(),
             epochs: Cell::new(0),
+            changed: Notify::new(),
             #[cfg(feature = "hosted")]
             authorities: RefCell::default(),
         });
@@ -74,10 +78,21 @@
         self.figures.drain_grace
     }
 
+    /// For so long after a server began to drain a request that waits for its connection may still be written.
+    pub(super) fn send_grace(&self) -> Duration {
+        self.figures.drain_grace / 2
+    }
+
     // The list.
 
     /// Takes over a list and puts it in the module's words.
     pub fn apply(&self, list: &List) -> (SyncKind, Vec<Member>) {
+        let applied = self.replace(list);
+        self.changed.notify_waiters();
+        applied
+    }
+
+    fn replace(&self, list: &List) -> (SyncKind, Vec<Member>) {
         let mut entries = self.entries.borrow_mut();
         let mut names = self.names.borrow_mut();
         let mut members = Vec::with_capacity(list.entries.len());
@@ -157,7 +172,7 @@
     pub(super) fn address(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
         let entries = self.entries.borrow();
         let entry = entries.get(&server)?;
-        let late = entry.barred.is_some_and(|since| since.elapsed() > self.figures.drain_grace / 2);
+        let late = entry.barred.is_some_and(|since| since.elapsed() > self.send_grace());
         (!late && !entry.replaced).then_some((entry.addr, entry.epoch))
     }
 
--- a/crates/node/tests/suite.rs
+++ b/crates/node/tests/suite.rs
@@ -165,6 +165,13 @@
     silent.gone();
     between.gone();
     let (at_between, deleted) = (between.requests(), Instant::now());
+    for one in tries {
+        // Refused, as nothing of it ever ran, and at once: nothing may be sent any more.
+        let answer = one.await.unwrap().expect("an answer in time");
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    let refused = deleted.elapsed();
+    assert!(refused < Duration::from_secs(1), "refused {refused:?} after the delete");
     // The deaf one accepts again after the grace: what waited for it must not be written any more.
     tokio::time::sleep(Duration::from_millis(600)).await;
     let heard = tokio::spawn(deaf.hears());
@@ -175,12 +182,6 @@
         assert!(failed || (n % 2 == 0 && answer.status == 503), "{answer:?}");
         assert!(answer.spent < Duration::from_secs(2), "{answer:?}");
     }
-    for one in tries {
-        // Refused: nothing of it ever ran.
-        let answer = one.await.unwrap().expect("an answer in time");
-        assert_eq!(answer.status, 503, "{answer:?}");
-        assert!(answer.spent < Duration::from_secs(2), "{answer:?}");
-    }
     until("both are gone", || drained(admin)).await;
     assert!(deleted.elapsed() < Duration::from_secs(4), "{:?}", deleted.elapsed());
     assert_eq!(heard.await.unwrap(), 0, "written to a deleted tenant's server");
