Measure what each role costs by its size: proof scale, with hollow and real nodes

A fleet of hollow nodes (the fleet's state machine on real UDP, the catalogue's follower, registration, the ledger's document; many in one process) and real `woodgap serve` processes is grown over four sizes, over a stand-in service on a thread of its own whose processor time is told apart. Nine roles, five events; a machine that is too small is refused before anything starts; all processes are ended by their ids.

Failed try: members of the first host had nobody to join through, so no fleet ever formed; the members of a host are seeds of those after them now.

process.rs gives memory and processor time of any process by its id.

--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http3;
 mod process;
+mod scale;
 mod tenants;
 
 use std::path::PathBuf;
@@ -84,6 +85,11 @@
         #[arg(long)]
         only: Option<String>,
     },
+    /// What each role costs by its size, held against a target; the capacity page.
+    Scale(scale::ScaleArgs),
+    /// Hollow nodes; part of scale, in processes of their own.
+    #[command(hide = true)]
+    Hollow(scale::hollow::HostArgs),
     /// Servers as ephemeral nodes, and a catalogue that nodes share.
     Ephemeral {
         /// A whole minute out of reach, and more changes.
@@ -96,7 +102,11 @@
 }
 
 fn main() -> ExitCode {
-    let proof = Line::parse().proof;
+    let proof = match Line::parse().proof {
+        // It has a runtime of its own.
+        Proof::Hollow(args) => return ended(scale::hollow::host(args).map_err(Into::into)),
+        proof => proof,
+    };
     // The load and the stand-ins leave a core for the node.
     let threads =
         std::thread::available_parallelism().map_or(1, |cores| cores.get().saturating_sub(1)).max(1);
@@ -114,14 +124,17 @@
                 Proof::Gate { keys } => admission::alone(keys),
                 Proof::Fleet { long, only } => fleet::measure(long, only.as_deref()).await,
                 Proof::Ephemeral { long, only } => ephemeral::measure(long, only.as_deref()).await,
+                Proof::Scale(args) => Ok(scale::measure(args).await?),
+                Proof::Hollow(_) => Ok(serde_json::Value::Null),
             }
         })
     });
+    ended(measured.map(|figures| println!("{figures}")))
+}
+
+fn ended(measured: Result<(), Box<dyn std::error::Error>>) -> ExitCode {
     match measured {
-        Ok(figures) => {
-            println!("{figures}");
-            ExitCode::SUCCESS
-        }
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("proof: {error}");
             ExitCode::FAILURE
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -78,28 +78,42 @@
         Ok(Process { child, addr: addr.ok_or("no address")?, admin })
     }
 
-    fn file(&self, name: &str) -> Result<String, Box<dyn Error>> {
-        Ok(std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id()))?)
-    }
-
     /// Memory in KiB, by a field of its status: `VmRSS` for all of it, `RssAnon` for its own, `RssFile`
     /// for pages of programs and libraries, which other processes may share.
     pub fn memory_kib(&self, field: &str) -> Result<f64, Box<dyn Error>> {
-        let status = self.file("status")?;
-        let line = status.lines().find_map(|line| line.strip_prefix(field)).ok_or("no such field")?;
-        Ok(line.trim_start_matches(':').trim().trim_end_matches(" kB").trim().parse()?)
+        Ok(memory_kib_of(self.child.id(), field)?)
     }
 
     /// Time of its threads on cores since its start, in seconds: to the nanosecond, as the scheduler has it.
     pub fn cpu_s(&self) -> Result<f64, Box<dyn Error>> {
-        let mut spent = 0.0;
-        for thread in std::fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
-            // A thread may end meanwhile.
-            let Ok(text) = std::fs::read_to_string(thread?.path().join("schedstat")) else { continue };
-            spent += text.split_whitespace().next().ok_or("no schedstat")?.parse::<f64>()? / 1e9;
-        }
-        Ok(spent)
+        Ok(cpu_s_of(self.child.id())?)
+    }
+}
+
+/// Memory of a process in KiB: see [`Process::memory_kib`].
+///
+/// # Errors
+/// Where it has ended, or there is no such field.
+pub fn memory_kib_of(id: u32, field: &str) -> std::io::Result<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
+    let kib = line.map(|line| line.trim_start_matches(':').trim().trim_end_matches(" kB").trim());
+    kib.and_then(|kib| kib.parse().ok()).ok_or_else(|| std::io::Error::other("no such field"))
+}
+
+/// Time of a process's threads on cores: see [`Process::cpu_s`].
+///
+/// # Errors
+/// Where it has ended.
+pub fn cpu_s_of(id: u32) -> std::io::Result<f64> {
+    let mut spent = 0.0;
+    for thread in std::fs::read_dir(format!("/proc/{id}/task"))? {
+        // A thread may end meanwhile.
+        let Ok(text) = std::fs::read_to_string(thread?.path().join("schedstat")) else { continue };
+        let first = text.split_whitespace().next().and_then(|first| first.parse::<f64>().ok());
+        spent += first.ok_or_else(|| std::io::Error::other("no schedstat"))? / 1e9;
     }
+    Ok(spent)
 }
 
 #[cfg(test)]
--- a/crates/testkit/src/coordination/wire/service.rs
+++ b/crates/testkit/src/coordination/wire/service.rs
@@ -1,5 +1,6 @@
 //! The service as a test has it: started, changed, broken, counted.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -208,9 +209,15 @@
         self.shared.with(|state| state.traffic)
     }
 
-    /// The most bytes that went to one session so far.
-    pub fn most_sent_to_one(&self) -> u64 {
-        self.shared.with(|state| state.sent_to.values().copied().max().unwrap_or(0))
+    /// The same for whoever looks on while the service itself is in other hands.
+    pub fn traffic_counter(&self) -> impl Fn() -> Traffic + Send + Sync + 'static {
+        let shared = self.shared.clone();
+        move || shared.with(|state| state.traffic)
+    }
+
+    /// Bytes that went to each session so far.
+    pub fn bytes_by_session(&self) -> HashMap<i64, u64> {
+        self.shared.with(|state| state.sent_to.clone())
     }
 
     /// Watches that are set.
