Count a scale event's own reads alone, and a start of all nodes against the service

The busiest second of an event reached back over its beginning: a rack's loss was charged with 34,812 reads of the 140 tenants written before it. Watches of a killed node's session were counted with the next node's until its time-out (18,227 in place of some 4,600). The request path was measured after 0.3 s of load at 35 services and 1.1 s at 140, which made it fall with the size.

The peak window begins with the event, sessions of a node that was ended are ended, and every size gets the same time first; the median and the direct connection's own time are recorded beside the 99 in 100. A start of all nodes, worked out from one start, is held against the time that a node has.

--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -5,7 +5,7 @@
 
 use std::fmt::Write as _;
 
-use crate::projection::{over_budget, project};
+use crate::projection::{fleet_start, over_budget, project};
 use crate::recording::{Event, Recording};
 use crate::role::Role;
 use crate::target::{Dimension, Target};
@@ -117,6 +117,9 @@
                 factor(projection.factor()),
             );
         }
+        if role == Role::Start {
+            text.push_str(&start_of_all(recording, target));
+        }
         for bound in recording.bounds.iter().filter(|bound| bound.role == role) {
             let wanted = target.size(bound.by);
             let verdict = if bound.most < wanted { "**does not fit**" } else { "fits" };
@@ -160,6 +163,22 @@
     text
 }
 
+/// What a start of all nodes at one moment asks of the service.
+fn start_of_all(recording: &Recording, target: &Target) -> String {
+    let Some(start) = fleet_start(recording, target) else { return String::new() };
+    format!(
+        "\nA start of all {} nodes at one moment, worked out from the lines above: {} reads and {} at the coordination\n\
+        service, {} of a core of each of its {} machines where they share them evenly and are as fast as the stand-in;\n\
+        factor {} of the time that a node has.\n",
+        target.nodes,
+        count(start.reads),
+        amount(start.bytes, "bytes"),
+        amount(start.service_ms, "ms"),
+        target.budget.control_machines,
+        factor(Some(start.factor())),
+    )
+}
+
 /// What does not fit, the worst first.
 fn missing(recording: &Recording, target: &Target) -> String {
     let mut rows: Vec<(f64, Role, String)> = Vec::new();
@@ -174,6 +193,9 @@
             rows.push((factor, bound.role, bound.what.clone()));
         }
     }
+    if let Some(start) = fleet_start(recording, target).filter(|start| start.factor() > 1.0) {
+        rows.push((start.factor(), Role::Start, "a start of all nodes at one moment".to_owned()));
+    }
     rows.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.2.cmp(&b.2)));
     let mut text = String::from("## What is missing\n\n");
     if rows.is_empty() {
--- a/crates/capacity/src/projection.rs
+++ b/crates/capacity/src/projection.rs
@@ -5,7 +5,7 @@
 use crate::fit::Fit;
 use crate::recording::{Recording, Series};
 use crate::role::Role;
-use crate::target::Target;
+use crate::target::{Budget, Target};
 
 /// A figure at the target's size.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,12 +46,59 @@
     }
 }
 
-/// The roles that do not fit: a figure over its budget, or a bound of the product below the target's size.
+/// The figures of one start from which a start of all nodes is worked out: what it reads, in bytes, and what of the
+/// service's core it takes, in milliseconds.
+pub const START_READS: &str = "reads of one start";
+/// See [`START_READS`].
+pub const START_BYTES: &str = "bytes of one start";
+/// See [`START_READS`].
+pub const START_SERVICE: &str = "stand-in's core for one start";
+
+/// A start of all nodes at one moment, each loading its catalogue as one alone does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetStart {
+    /// Reads at the service.
+    pub reads: f64,
+    /// Bytes out of it.
+    pub bytes: f64,
+    /// Milliseconds that its members are busy with them, shared out evenly.
+    pub service_ms: f64,
+    /// The time in which a node has to have loaded its catalogue, in milliseconds.
+    pub budget_ms: f64,
+}
+
+impl FleetStart {
+    /// How many times its budget the start takes.
+    pub fn factor(&self) -> f64 {
+        self.service_ms / self.budget_ms
+    }
+}
+
+/// What a start of all nodes asks of the service; `None` where a start was not measured.
+pub fn fleet_start(recording: &Recording, target: &Target) -> Option<FleetStart> {
+    let nodes = f64::from(target.nodes);
+    let at_target = |figure: &str| {
+        let mut all = recording.series.iter();
+        let series = all.find(|series| series.role == Role::Start && series.figure == figure)?;
+        Some(project(series, target).value * nodes)
+    };
+    Some(FleetStart {
+        reads: at_target(START_READS)?,
+        bytes: at_target(START_BYTES)?,
+        service_ms: at_target(START_SERVICE)? / f64::from(target.budget.control_machines),
+        budget_ms: target.budget(Budget::StartMs),
+    })
+}
+
+/// The roles that do not fit: a figure over its budget, a bound of the product below the target's size, or a start of all nodes that
+/// the service does not bear in time.
 pub fn over_budget(recording: &Recording, target: &Target) -> BTreeSet<Role> {
     let figures = recording.series.iter().filter(|series| {
         let factor = project(series, target).factor();
         factor.is_some_and(|factor| factor > 1.0)
     });
     let bounds = recording.bounds.iter().filter(|bound| bound.most < target.size(bound.by));
-    figures.map(|series| series.role).chain(bounds.map(|bound| bound.role)).collect()
+    let start = fleet_start(recording, target).filter(|start| start.factor() > 1.0);
+    let roles = figures.map(|series| series.role).chain(bounds.map(|bound| bound.role));
+    roles.chain(start.map(|_| Role::Start)).collect()
 }
--- a/crates/proof/src/scale/catalogue.rs
+++ b/crates/proof/src/scale/catalogue.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use woodgap_capacity::projection::{
+    START_BYTES as START_BYTES_NAME, START_READS as START_READS_NAME, START_SERVICE as START_SERVICE_NAME,
+};
 use woodgap_capacity::target::{Budget, Dimension};
 use woodgap_capacity::Role;
 use woodgap_testkit::admin::{spec, If};
@@ -24,9 +27,9 @@
 const START: Figure = Figure { role: Role::Start, name: "start until it listens", unit: "ms" };
 const START_8: Figure =
     Figure { role: Role::Start, name: "the same, tenants with eight servers each", unit: "ms" };
-const START_READS: Figure = Figure { role: Role::Start, name: "reads of one start", unit: "reads" };
-const START_BYTES: Figure = Figure { role: Role::Start, name: "bytes of one start", unit: "bytes" };
-const START_SERVICE: Figure = Figure { role: Role::Start, name: "stand-in's core for one start", unit: "ms" };
+const START_READS: Figure = Figure { role: Role::Start, name: START_READS_NAME, unit: "reads" };
+const START_BYTES: Figure = Figure { role: Role::Start, name: START_BYTES_NAME, unit: "bytes" };
+const START_SERVICE: Figure = Figure { role: Role::Start, name: START_SERVICE_NAME, unit: "ms" };
 const LIST: Figure = Figure { role: Role::Administration, name: "a page of 100 tenants", unit: "ms" };
 const WRITE: Figure =
     Figure { role: Role::Administration, name: "a write of a tenant, answered", unit: "ms" };
--- a/crates/proof/src/scale/hosts.rs
+++ b/crates/proof/src/scale/hosts.rs
@@ -98,8 +98,7 @@
     }
 
     fn remember_seeds(&mut self) {
-        let listening = self.told(|told| told.listening.clone());
-        self.seeds = listening.into_iter().take(MOST_SEEDS).collect();
+        self.seeds = self.told(|told| told.listening.clone()).into_iter().take(MOST_SEEDS).collect();
     }
 
     fn start_host(&mut self, names: Vec<String>, region: usize) -> Result<(), ScaleError> {
--- a/crates/proof/src/scale/registration.rs
+++ b/crates/proof/src/scale/registration.rs
@@ -1,7 +1,7 @@
 //! Servers that register, and what a node pays that watches them.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use woodgap_capacity::target::{Budget, Dimension, Rate};
 use woodgap_capacity::Role;
@@ -19,7 +19,7 @@
 const MEMORY: Figure =
     Figure { role: Role::Registration, name: "own memory of a node that watches all servers", unit: "bytes" };
 const START: Figure =
-    Figure { role: Role::Registration, name: "start until all servers are read", unit: "ms" };
+    Figure { role: Role::Registration, name: "start until all servers are read and watched", unit: "ms" };
 const READS: Figure = Figure { role: Role::Registration, name: "reads of one start", unit: "reads" };
 const BYTES: Figure = Figure { role: Role::Registration, name: "bytes of one start", unit: "bytes" };
 const WATCHES: Figure =
@@ -175,14 +175,15 @@
     samples: &mut Samples,
 ) -> Result<(), ScaleError> {
     let (size, before, address) = (count as u64, stand_in.traffic(), stand_in.addresses[0]);
+    let begun = Instant::now();
     let node =
         blocking(move || RealNode::start(&NodeConfig { name: "n1", service: address, seeds: &[] })).await?;
     // Each server that was read is watched.
-    let read = || stand_in.service.watches() >= count;
+    let read = || stand_in.service.watches() > count;
     until("all servers read", READ, || async { read() }).await?;
+    samples.enter(START, size, begun.elapsed().as_secs_f64() * 1e3);
     settled(stand_in).await;
     let after = stand_in.traffic();
-    samples.enter(START, size, node.started_in.as_secs_f64() * 1e3);
     samples.enter(READS, size, (after.reads - before.reads) as f64);
     samples.enter(BYTES, size, (after.bytes_out - before.bytes_out) as f64);
     samples.enter(WATCHES, size, stand_in.service.watches() as f64);
@@ -195,6 +196,10 @@
     let after = stand_in.traffic();
     samples.enter(RESTART_READS, size, (after.reads - before.reads) as f64 / RESTARTS as f64);
     samples.enter(RESTART_BYTES, size, (after.bytes_out - before.bytes_out) as f64 / RESTARTS as f64);
+    // The next node's watches are not to be counted with those of a session that waits for its time-out.
+    let sessions = stand_in.service.connected();
+    drop(node);
+    stand_in.service.end_sessions(&sessions);
     Ok(())
 }
 
--- a/crates/proof/src/scale/requests.rs
+++ b/crates/proof/src/scale/requests.rs
@@ -18,6 +18,10 @@
 
 const ADDED: Figure =
     Figure { role: Role::RequestPath, name: "added to 99 in 100 requests, 250 a second", unit: "ms" };
+const ADDED_HALF: Figure =
+    Figure { role: Role::RequestPath, name: "added to half of the requests", unit: "ms" };
+const DIRECT: Figure =
+    Figure { role: Role::RequestPath, name: "99 in 100 of a direct connection, beside it", unit: "ms" };
 const CORE: Figure =
     Figure { role: Role::RequestPath, name: "core of a node at 250 requests a second", unit: "core" };
 const MEMORY: Figure =
@@ -36,20 +40,32 @@
     pub services: &'static [usize],
     /// Rounds, each with all sizes.
     pub rounds: usize,
-    /// How long each load lasts.
+    /// How long each load lasts, and how long the node has had it before.
     pub span: Duration,
+    /// See [`Plan::span`].
+    pub warm_up: Duration,
 }
 
 /// The full plan, and that of `--quick`.
-pub const FULL: Plan = Plan { services: &[35, 70, 105, 140], rounds: 3, span: Duration::from_secs(3) };
+pub const FULL: Plan = Plan {
+    services: &[35, 70, 105, 140],
+    rounds: 3,
+    span: Duration::from_secs(2),
+    warm_up: Duration::from_secs(3),
+};
 /// See [`FULL`].
-pub const QUICK: Plan = Plan { services: &[10, 20, 30, 40], rounds: 1, span: Duration::from_secs(1) };
+pub const QUICK: Plan = Plan {
+    services: &[10, 20, 30, 40],
+    rounds: 1,
+    span: Duration::from_secs(1),
+    warm_up: Duration::from_secs(1),
+};
 
 /// Declares the series.
 pub fn declare(samples: &mut Samples) {
     let services = Dimension::Services;
     samples.declare(ADDED, services, Some(Budget::AddedMs), None);
-    for figure in [CORE, MEMORY, NOT_SERVED] {
+    for figure in [ADDED_HALF, DIRECT, CORE, MEMORY, NOT_SERVED] {
         samples.declare(figure, services, None, None);
     }
 }
@@ -83,13 +99,7 @@
             let node = blocking(start).await?;
             let size = services as u64;
             // Every pool starts with its first request, which is not what is measured.
-            run(
-                node.process.addr,
-                Duration::from_secs_f64(2.0 * services as f64 / PER_S),
-                round + 1_000,
-                services,
-            )
-            .await;
+            run(node.process.addr, plan.warm_up, round + 1_000, services).await;
             let cpu = node.process.cpu_s()?;
             let through = run(node.process.addr, plan.span, round, services).await;
             let spent = node.process.cpu_s()? - cpu;
@@ -97,7 +107,10 @@
             samples.enter(MEMORY, size, node.own_memory()?);
             drop(node);
             let direct = run(servers[0].addr, plan.span, round, services).await;
-            samples.enter(ADDED, size, through.served_quantile(0.99) - direct.served_quantile(0.99));
+            let added = |part| through.served_quantile(part) - direct.served_quantile(part);
+            samples.enter(ADDED, size, added(0.99));
+            samples.enter(ADDED_HALF, size, added(0.5));
+            samples.enter(DIRECT, size, direct.served_quantile(0.99));
             samples.enter(NOT_SERVED, size, 1e3 * (1.0 - through.served_share()));
         }
     }
--- a/crates/proof/src/scale/stand_in.rs
+++ b/crates/proof/src/scale/stand_in.rs
@@ -1,5 +1,6 @@
 //! The stand-in coordination service on a thread of its own, whose processor time is told apart.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -26,6 +27,25 @@
     pub bytes: u64,
 }
 
+/// The counts of the last second, and their greatest so far.
+#[derive(Default)]
+struct PeakWindow {
+    looks: VecDeque<Traffic>,
+    peak: Peak,
+}
+
+impl PeakWindow {
+    fn look(&mut self, now: Traffic) {
+        self.looks.push_back(now);
+        if self.looks.len() > LOOKS + 1 {
+            self.looks.pop_front();
+        }
+        let Some(before) = self.looks.front() else { return };
+        self.peak.reads = self.peak.reads.max(now.reads - before.reads);
+        self.peak.bytes = self.peak.bytes.max(now.bytes_out - before.bytes_out);
+    }
+}
+
 /// The stand-in, until it is dropped.
 pub struct StandIn {
     /// The service.
@@ -34,7 +54,7 @@
     pub addresses: [SocketAddr; 2],
     /// The directory of its thread in `/proc`.
     thread: String,
-    peak: Arc<Mutex<Peak>>,
+    peak: Arc<Mutex<PeakWindow>>,
     stop: Option<tokio::sync::oneshot::Sender<()>>,
     looks: tokio::task::JoinHandle<()>,
 }
@@ -66,7 +86,7 @@
         let (listens, thread) = starts.await.map_err(lost)?;
         let (service, second) = listens?;
         let (addresses, thread) = ([service.addr, second], format!("/proc/{}", thread?));
-        let peak = Arc::new(Mutex::new(Peak::default()));
+        let peak = Arc::new(Mutex::new(PeakWindow::default()));
         let counts = service.traffic_counter();
         let looks = tokio::spawn(watch_peak(counts, peak.clone()));
         Ok(StandIn { service, addresses, thread, peak, stop: Some(stop), looks })
@@ -95,9 +115,14 @@
         self.service.traffic()
     }
 
-    /// The greatest counts of one second since this was last asked.
+    /// The greatest counts of one second since this was last asked: what went before is not among them.
     pub fn take_peak(&self) -> Peak {
-        std::mem::take(&mut self.peak.lock().unwrap_or_else(PoisonError::into_inner))
+        let now = self.service.traffic();
+        let mut window = self.peak.lock().unwrap_or_else(PoisonError::into_inner);
+        window.look(now);
+        let before = std::mem::take(&mut *window);
+        window.look(now);
+        before.peak
     }
 }
 
@@ -115,20 +140,12 @@
     Ok(Service::start(settings)?)
 }
 
-async fn watch_peak(counts: impl Fn() -> Traffic, peak: Arc<Mutex<Peak>>) {
-    let mut looks: std::collections::VecDeque<Traffic> = std::collections::VecDeque::new();
+async fn watch_peak(counts: impl Fn() -> Traffic, window: Arc<Mutex<PeakWindow>>) {
     let mut due = Instant::now();
     loop {
         due += LOOK;
         tokio::time::sleep_until(due.into()).await;
         let now = counts();
-        looks.push_back(now);
-        if looks.len() > LOOKS + 1 {
-            looks.pop_front();
-        }
-        let Some(before) = looks.front() else { continue };
-        let mut peak = peak.lock().unwrap_or_else(PoisonError::into_inner);
-        peak.reads = peak.reads.max(now.reads - before.reads);
-        peak.bytes = peak.bytes.max(now.bytes_out - before.bytes_out);
+        window.lock().unwrap_or_else(PoisonError::into_inner).look(now);
     }
 }
