--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -6,8 +6,9 @@
 
 /// A figure is constant where the line rises by less than this part of its mean over the range.
 const FLAT: f64 = 0.15;
-/// A figure bends where the slope over the upper half of the sizes is so many times that over the lower half.
-const BEND: f64 = 1.5;
+/// A figure bends upward where a median lies so far below the straight way from the first to the last, as a part of the
+/// rise: n^2 over three doublings does by a fifth.
+const SAG: f64 = 0.1;
 
 /// How a figure grows with the size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,19 +57,19 @@
     samples.iter().map(|s| s.most - s.least).fold(0.0, f64::max)
 }
 
-fn growth(samples: &[Sample], base: f64, slope: f64, residual: f64) -> Growth {
+fn growth(samples: &[Sample], slope: f64) -> Growth {
     let (Some(first), Some(last)) = (samples.first(), samples.last()) else { return Growth::Constant };
     let rise = slope * (last.size - first.size);
     let mean = samples.iter().map(|s| s.median.abs()).sum::<f64>() / samples.len() as f64;
     if rise.abs() <= FLAT * mean || rise.abs() <= noise(samples) {
         return Growth::Constant;
     }
-    let middle = samples.len() / 2;
-    let (_, lower) = line(&samples[..=middle]);
-    let (_, upper) = line(&samples[middle..]);
-    // What lies within the noise around the line does not bend.
-    let bends = upper > BEND * lower.max(0.0) && residual > noise(samples).min(rise * FLAT / 2.0);
-    match bends && base < first.median {
+    let way = |size: f64| {
+        first.median + (last.median - first.median) * (size - first.size) / (last.size - first.size)
+    };
+    let sag = samples.iter().map(|s| way(s.size) - s.median).fold(0.0, f64::max) / rise;
+    // What the rounds differ by anyway is no bend.
+    match sag > SAG.max(noise(samples) / rise) {
         true => Growth::Superlinear,
         false => Growth::Linear,
     }
@@ -82,7 +83,7 @@
         let distance = |s: &Sample| (s.median - base - slope * s.size).abs();
         let residual = samples.iter().map(distance).fold(0.0, f64::max);
         let greatest = samples.iter().map(|s| s.median.abs()).fold(f64::MIN_POSITIVE, f64::max);
-        let growth = growth(samples, base, slope, residual);
+        let growth = growth(samples, slope);
         let ends = samples.first().zip(samples.last());
         let exponent = match (growth, ends) {
             (Growth::Superlinear, Some((first, last))) if first.median > 0.0 => {
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -5,18 +5,26 @@
 
 use std::fmt::Write as _;
 
-use crate::projection::{fleet_start, over_budget, project};
-use crate::recording::{Event, Recording};
+use crate::projection::{fleet_start, node_total, over_budget, project};
+use crate::recording::{Event, Recording, Series};
 use crate::role::Role;
-use crate::target::{Dimension, Target};
+use crate::target::{Budget, Dimension, Target};
 use figures::{amount, count, factor, growth, line_of};
 
+/// The budgets that all of a node's roles share.
+const NODE_BUDGETS: [(&str, Budget, &str); 3] = [
+    ("core", Budget::CoreShare, "core"),
+    ("memory", Budget::MemoryBytes, "bytes"),
+    ("traffic", Budget::BytesPerS, "bytes/s"),
+];
+
 /// The whole page.
 pub fn render(recording: &Recording, target: &Target) -> String {
     let sections = [
         head(recording),
         sizes(target),
         roles(recording, target),
+        together(recording, target),
         events(&recording.events),
         layout::control_machines(target),
         missing(recording, target),
@@ -94,9 +102,9 @@
             continue;
         }
         text.push_str(
-            "| figure | measured at | line | form | at the target | at twice | budget | factor |\n",
+            "| figure | measured at | line | form | rounds at the largest | at the target | at twice | budget | factor |\n",
         );
-        text.push_str("| --- | --- | --- | --- | ---: | ---: | ---: | ---: |\n");
+        text.push_str("| --- | --- | --- | --- | --- | ---: | ---: | ---: | ---: |\n");
         for series in series {
             let projection = project(series, target);
             let (least, most) = projection.fit.range;
@@ -104,13 +112,14 @@
             let unit = if series.rate.is_some() { format!("{}/s", series.unit) } else { series.unit.clone() };
             let _ = writeln!(
                 text,
-                "| {} | {} to {} {} | {} | {} | {}{mark} | {} | {} | {} |",
+                "| {} | {} to {} {} | {} | {} | {} | {}{mark} | {} | {} | {} |",
                 series.figure,
                 count(least),
                 count(most),
                 dimension(series.by),
                 line_of(&projection.fit, &series.unit),
                 growth(&projection.fit),
+                rounds(series),
                 amount(projection.value, &unit),
                 amount(projection.at_twice, &unit),
                 projection.budget.map_or_else(|| "-".to_owned(), |budget| amount(budget, &unit)),
@@ -135,6 +144,14 @@
     text
 }
 
+/// What the rounds at the largest size came to.
+fn rounds(series: &Series) -> String {
+    let last = series.samples.last();
+    last.map_or_else(String::new, |last| {
+        format!("{} to {}", amount(last.least, &series.unit), amount(last.most, &series.unit))
+    })
+}
+
 fn events(events: &[Event]) -> String {
     let mut text = String::from(
         "## Events at size\n\n\
@@ -163,6 +180,21 @@
     text
 }
 
+/// A node's budgets over all roles.
+fn together(recording: &Recording, target: &Target) -> String {
+    let mut text = String::from(
+        "## A node's control, all together\n\n\
+        The sum over the roles above; of a role with several figures, the greatest.\n\n\
+        | budget | all roles | budget | factor |\n| --- | ---: | ---: | ---: |\n",
+    );
+    for (name, budget, unit) in NODE_BUDGETS {
+        let (total, most) = (node_total(recording, target, budget), target.budget(budget));
+        let (all, wanted) = (amount(total, unit), amount(most, unit));
+        let _ = writeln!(text, "| {name} | {all} | {wanted} | {} |", factor(Some(total / most)));
+    }
+    text
+}
+
 /// What a start of all nodes at one moment asks of the service.
 fn start_of_all(recording: &Recording, target: &Target) -> String {
     let Some(start) = fleet_start(recording, target) else { return String::new() };
--- a/crates/capacity/src/projection.rs
+++ b/crates/capacity/src/projection.rs
@@ -1,6 +1,6 @@
 //! A figure at the target's size, beside its budget.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::fit::Fit;
 use crate::recording::{Recording, Series};
@@ -46,6 +46,18 @@
     }
 }
 
+/// What a node spends for control of one budget, all roles together: of a role with several figures of the budget, which
+/// are other catalogues or other loads, the greatest counts.
+pub fn node_total(recording: &Recording, target: &Target, budget: Budget) -> f64 {
+    let mut by_role: BTreeMap<Role, f64> = BTreeMap::new();
+    for series in recording.series.iter().filter(|series| series.budget == Some(budget)) {
+        let value = project(series, target).value;
+        let greatest = by_role.entry(series.role).or_insert(value);
+        *greatest = greatest.max(value);
+    }
+    by_role.values().sum()
+}
+
 /// The figures of one start from which a start of all nodes is worked out: what it reads, in bytes, and what of the
 /// service's core it takes, in milliseconds.
 pub const START_READS: &str = "reads of one start";
--- a/crates/capacity/src/role.rs
+++ b/crates/capacity/src/role.rs
@@ -80,14 +80,14 @@
                 36,
             ),
             Role::Start => (
-                "each record read by itself, 256 at a time (`store/shared.rs`, `load`), the log after it",
+                "each record read by itself, 256 at a time (`store/shared/load.rs`), the log after it",
                 "the coordination service: all nodes that start together read all records",
                 24,
             ),
             Role::Change => (
-                "a watch on the catalogue's root at every node, then one read of the root and one of each commit \
-                 (`store/shared.rs`, `after`)",
-                "the coordination service's answers in one moment: two reads a node for each change",
+                "a watch on the catalogue's root at every node, then two reads of the root and one of each commit \
+                 (`store/shared/load.rs`, `after`)",
+                "the coordination service's answers in one moment: three reads a node for each change",
                 36,
             ),
             Role::Membership => (
--- a/crates/capacity/src/target.rs
+++ b/crates/capacity/src/target.rs
@@ -6,8 +6,13 @@
 #[derive(Debug, thiserror::Error)]
 pub enum TargetError {
     /// The text is no target.
-    #[error("the target cannot be read: {0}; see docs/capacity/target.toml for the form")]
-    Unreadable(#[from] toml::de::Error),
+    #[error("the target cannot be read: line {line}: {problem}; see docs/capacity/target.toml for the form")]
+    Unreadable {
+        /// In which line.
+        line: usize,
+        /// What is wrong there.
+        problem: String,
+    },
     /// A field that has to be above zero is not.
     #[error("target: {field} is {value}: give a number above 0")]
     NotPositive {
@@ -26,6 +31,15 @@
     },
 }
 
+impl TargetError {
+    /// On one line, unlike the reader's own words for it.
+    fn unreadable(text: &str, error: &toml::de::Error) -> TargetError {
+        let start = error.span().map_or(0, |span| span.start).min(text.len());
+        let before = text.as_bytes()[..start].iter().filter(|byte| **byte == b'\n').count();
+        TargetError::Unreadable { line: before + 1, problem: error.message().replace('\n', " ") }
+    }
+}
+
 /// What the size of a series counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -134,7 +148,7 @@
     /// # Errors
     /// What is wrong with it, and what would be right.
     pub fn read(text: &str) -> Result<Target, TargetError> {
-        let target: Target = toml::from_str(text)?;
+        let target: Target = toml::from_str(text).map_err(|error| TargetError::unreadable(text, &error))?;
         for (field, value) in target.positive_fields() {
             if !(value > 0.0 && value.is_finite()) {
                 return Err(TargetError::NotPositive { field, value });
--- a/crates/capacity/tests/fit.rs
+++ b/crates/capacity/tests/fit.rs
@@ -59,6 +59,13 @@
     assert!((fit.at(48_000.0) / wanted - 1.0).abs() < 1e-9 && line < wanted / 4.0);
 }
 
+// A step at one size is no bend where the others lie on the line.
+#[test]
+fn an_uneven_line_does_not_bend() {
+    let uneven = series(&[(2.0, 166.0), (5.0, 308.0), (10.0, 475.0), (19.0, 926.0)], 10.0);
+    assert_eq!(Fit::of(&uneven).growth, Growth::Linear);
+}
+
 // Slower than in proportion: a cache that fills is no finding.
 #[test]
 fn what_flattens_does_not_bend_upward() {
--- /dev/null
+++ b/crates/capacity/tests/page.rs
@@ -0,0 +1,61 @@
+//! The page, the recording and the target that are in the tree agree.
+
+use woodgap_capacity::{fleet_start, over_budget, page, project, Recording, Role, Target};
+
+const TARGET: &str = include_str!("../../../docs/capacity/target.toml");
+const RECORDING: &str = include_str!("../../../docs/capacity/slopes.json");
+const PAGE: &str = include_str!("../../../docs/CAPACITY.md");
+
+#[test]
+fn the_page_is_made_of_the_recording_and_the_target() {
+    let (target, recording) = (Target::read(TARGET).unwrap(), Recording::read(RECORDING).unwrap());
+    let page = page::render(&recording, &target);
+    let first = page.lines().zip(PAGE.lines()).find(|(made, there)| made != there);
+    assert!(
+        page == PAGE,
+        "docs/CAPACITY.md is not made of docs/capacity: run `cargo run --release -p proof -- scale --page`; {first:?}"
+    );
+}
+
+#[test]
+fn a_page_follows_its_target_and_its_recording() {
+    let (target, recording) = (Target::read(TARGET).unwrap(), Recording::read(RECORDING).unwrap());
+    let twice = Target { tenants: target.tenants * 2, ..target.clone() };
+    assert_ne!(page::render(&recording, &twice), PAGE);
+    let mut other = recording.clone();
+    other.series[0].samples[0].median += 1.0;
+    assert_ne!(page::render(&other, &target), PAGE);
+}
+
+#[test]
+fn every_role_is_measured_and_what_does_not_fit_is_named() {
+    let (target, recording) = (Target::read(TARGET).unwrap(), Recording::read(RECORDING).unwrap());
+    for role in Role::ALL {
+        assert!(recording.series.iter().any(|series| series.role == role), "{role:?}");
+    }
+    let over = over_budget(&recording, &target);
+    for series in &recording.series {
+        let factor = project(series, &target).factor();
+        assert!(
+            factor.is_none_or(|factor| factor <= 1.0) || over.contains(&series.role),
+            "{}",
+            series.figure
+        );
+    }
+    // A bound below the target's size counts, however cheap the role is.
+    let bound = recording.bounds.iter().find(|bound| bound.most < target.size(bound.by));
+    assert!(bound.is_none_or(|bound| over.contains(&bound.role)));
+}
+
+// A node alone loads in time; 480 at once, on the service's few cores, may not.
+#[test]
+fn a_start_of_all_nodes_counts_against_the_service() {
+    let (target, recording) = (Target::read(TARGET).unwrap(), Recording::read(RECORDING).unwrap());
+    let start = fleet_start(&recording, &target).unwrap();
+    let twice = fleet_start(&recording, &Target { nodes: target.nodes * 2, ..target.clone() }).unwrap();
+    assert!(
+        (twice.reads / start.reads - 2.0).abs() < 1e-9
+            && (twice.factor() / start.factor() - 2.0).abs() < 1e-9
+    );
+    assert!(start.factor() <= 1.0 || over_budget(&recording, &target).contains(&Role::Start));
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -188,7 +188,7 @@
 
     /// Since when and why what is read here may not be the latest, where that is so.
     pub fn stale(&self) -> Option<(std::time::Instant, String)> {
-        self.remote.as_ref().and_then(|remote| remote.borrow().ails.clone())
+        self.remote.as_ref().and_then(|remote| remote.borrow().unavailable.clone())
     }
 
     /// Follows a store that others write too.
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -52,7 +52,7 @@
     /// Its revision, as last seen.
     pub revision: Revision,
     /// Since when it cannot be reached or makes no sense, and why; `None` while all is well.
-    pub ails: Option<(std::time::Instant, String)>,
+    pub unavailable: Option<(std::time::Instant, String)>,
 }
 
 /// Keeps the catalogue. Calls may block; they are made one at a time.
