--- a/crates/node/src/store/shared/load.rs
+++ b/crates/node/src/store/shared/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use woodgap_tenancy::catalogue::{Backend, Revision, TenantRecord, Write};
+use woodgap_tenancy::catalogue::{Backend, Change, Revision, TenantRecord, Write};
 use woodgap_tenancy::{Catalogue, Commit, Uid};
 use woodgap_zookeeper::session::Link;
 use woodgap_zookeeper::zookeeper_client::Error;
@@ -36,11 +36,17 @@
         }
     }
 
-    /// All of them, without servers whose tenant went after they were read.
-    fn into_parts(mut self) -> (Vec<(Uid, TenantRecord)>, Vec<(Uid, String, Backend)>) {
+    /// The catalogue of these records, without servers whose tenant went after they were read.
+    fn into_catalogue(
+        mut self,
+        root: &str,
+        revision: Revision,
+        changes: Vec<Change>,
+    ) -> Result<Catalogue, Interruption> {
         self.backends.retain(|(uid, _), _| self.tenants.contains_key(uid));
         let backends = self.backends.into_iter().map(|((uid, id), record)| (uid, id, record));
-        (self.tenants.into_iter().collect(), backends.collect())
+        Catalogue::load(revision, self.tenants.into_iter().collect(), backends.collect(), changes)
+            .map_err(|error| invalid(root, error))
     }
 }
 
@@ -105,9 +111,7 @@
                 records.replay(commit);
             }
             let changes = log.into_iter().map(|commit| commit.change).collect();
-            let (tenants, backends) = records.into_parts();
-            let catalogue = Catalogue::load(after.revision, tenants, backends, changes)
-                .map_err(|error| invalid(&self.paths.root, error))?;
+            let catalogue = records.into_catalogue(&self.paths.root, after.revision, changes)?;
             self.note_seen(&after);
             return Ok(catalogue);
         }
