--- a/crates/testkit/src/coordination/tree/mod.rs
+++ b/crates/testkit/src/coordination/tree/mod.rs
@@ -4,7 +4,7 @@
 //! Nodes", "Sequence Nodes"): every change has its own number (zxid), greater than all before; a watch fires
 //! once; an ephemeral node goes with its session; a multi is made whole or not at all.
 //!
-//! A change costs what it touches, however large the tree is: a multi that fails is taken back by its [`undo`] log, and
+//! A change costs what it touches, however large the tree is: a multi that fails is taken back by its undo log, and
 //! ephemeral nodes and watches are indexed by their session.
 
 mod change;
--- a/crates/testkit/src/coordination/wire/service.rs
+++ b/crates/testkit/src/coordination/wire/service.rs
@@ -156,7 +156,7 @@
         self.shared.with(|state| state.minority = minority);
     }
 
-    /// Cuts the connection on which the next request of this type comes ([`op`]).
+    /// Cuts the connection on which the next request of this type comes ([`super::op`]).
     pub fn cut(&self, kind: i32, cut: Cut) {
         self.shared.with(|state| state.cut = Some((kind, cut)));
     }
