--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -35,6 +35,11 @@
     Never,
 }
 
+/// Whether the disruption is played: not with TROUBLE=0.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
 fn main() {
     let (folder, record) = arguments();
     let sent_at: Arc<Mutex<std::collections::HashMap<String, Instant>>> = Arc::default();
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -29,6 +29,11 @@
     line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
+/// Whether the disruption is played: not with TROUBLE=0.
+fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
 fn main() {
     let (folder, record) = arguments();
     let members: Vec<Member> = (0..4)
--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -415,11 +415,6 @@
     std::process::exit(i32::from(broken))
 }
 
-/// Whether the disruption is played.
-pub fn trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |value| value != "0")
-}
-
 /// A number that is not used twice, in 16 hexadecimal digits.
 pub fn txn(n: u64) -> String {
     format!("{:016x}", (n + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15))
@@ -442,6 +437,9 @@
     }
 }
 
+/// What this machine brought through a path more than a millisecond later than its delay: it shows nothing.
+pub static DELAYED: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
 /// A way through the network: whatever is written to it comes out at `to` later by `one_way`, give or take
 /// `jitter` of that, in order. Ends and resets pass at once.
 pub fn start_path(to: SocketAddr, one_way: Duration, jitter: f64) -> SocketAddr {
@@ -477,6 +475,9 @@
             if to.write_all(&bytes).is_err() {
                 break;
             }
+            if due.elapsed() > Duration::from_millis(1) {
+                DELAYED.lock().unwrap().push(String::from_utf8_lossy(&bytes).into_owned());
+            }
         }
         let _ = to.shutdown(std::net::Shutdown::Both);
     });
