--- a/review/stand-ins/kit.rs
+++ b/review/stand-ins/kit.rs
@@ -414,6 +414,11 @@
 
 /// The settings of a small deployment, in the form of the simulator's first message.
 pub fn settings(nodes: u64, classes: &[ClassSpec], key_scope: &str, key_ttl_ms: u64) -> String {
+    settings_with_lists("ask", nodes, classes, key_scope, key_ttl_ms)
+}
+
+/// The same with lists that are asked for (`ask`) or pushed by an agent on the node's machine (`push`).
+pub fn settings_with_lists(mode: &str, nodes: u64, classes: &[ClassSpec], key_scope: &str, key_ttl_ms: u64) -> String {
     let classes: Vec<String> = classes
         .iter()
         .map(|c| {
@@ -428,7 +433,7 @@
          \"max-retry-after\":2000000,\"max-streams\":1,\"may-probe\":true,\"open-cap\":28741,\"peer-messages\":true,\"retry-after\":true,\"second-copies\":true}},\
          \"classes\":[{}],\"clients\":{{\"marks-retry\":true}},\"deductions\":{{\"cross-zone\":0.01,\"handshake\":0.0,\"late-fail\":0.08,\"peer\":0.01,\"probe\":0.01,\"waste\":0.2}},\
          \"domain\":{{\"warm-keys\":true}},\"family\":\"proxy\",\"granularity\":5000,\"group-size\":{nodes},\"kinds\":[\"full-box\",\"slow-box\"],\"locality\":\"swansea\",\"me\":0,\
-         \"over-share-worth\":0.1,\"registry-mode\":\"ask\",\"report\":{{\"fields\":[\"queue\",\"util\"],\"how\":\"inline\"}},\
+         \"over-share-worth\":0.1,\"registry-mode\":\"{mode}\",\"report\":{{\"fields\":[\"queue\",\"util\"],\"how\":\"inline\"}},\
          \"rules\":{{\"answer-slack\":20000,\"ask-within\":10000000,\"fall-multiple\":2.5,\"overload-for\":1000000,\"ramp-time\":9000000,\"start-capacity\":0.31,\"stop-sending-within\":500000}},\
          \"tenants\":[{{\"name\":\"rygbi-de\",\"quota-per-s\":0.0,\"share\":0.58}},{{\"name\":\"nofio-gogledd\",\"quota-per-s\":0.0,\"share\":0.42}}],\
          \"tier\":0,\"tiers\":[\"members-web\"],\"weight-source\":\"nominal\",\"worth-by\":\"work\",\"zones\":[\"cathays\",\"bangor\",\"swansea\"]}}",
