--- a/review/stand-ins/kit.rs
+++ b/review/stand-ins/kit.rs
@@ -1,7 +1,5 @@
 //! What the cases share: the platform that starts nodes with the deploy file's command, discovery, servers, a proxy that
 //! delays, HTTP messages and the record. Standard library only; every address is a loopback address.
-#![allow(dead_code)]
-
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -11,18 +9,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |v| v != "0")
@@ -54,7 +47,6 @@
 pub struct Node {
     pub child: Child,
     pub listen: SocketAddr,
-    pub config_path: PathBuf,
     pub dir: PathBuf,
 }
 
@@ -111,7 +103,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        let mut node = Node { child, listen, config_path, dir };
+        let mut node = Node { child, listen, dir };
         let start = Instant::now();
         while start.elapsed() < Duration::from_secs(10) {
             if let Ok(answer) = ask(listen, "GET /-/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n", &[], 1000) {
@@ -126,24 +118,6 @@
     }
 }
 
-impl Node {
-    pub fn signal(&self, signal: i32) {
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-    pub fn status_kb(&self, field: &str) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        text.lines()
-            .find_map(|l| l.strip_prefix(field)?.trim_start_matches(':').trim().split(' ').next()?.parse().ok())
-            .unwrap_or(0)
-    }
-    pub fn descriptors(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |d| d.count())
-    }
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-}
-
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -220,10 +194,6 @@
     read_message(&mut BufReader::new(stream))
 }
 
-pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
-}
-
 /// A server on the list.
 #[derive(Clone, Debug)]
 pub struct Listed {
@@ -255,8 +225,6 @@
 pub struct DiscoveryState {
     pub revision: u64,
     pub members: Vec<Listed>,
-    /// Watches opened before this time say nothing more (they stay open).
-    pub silent_before: Option<Instant>,
     pub calls: u64,
 }
 
@@ -285,27 +253,10 @@
         discovery
     }
 
-    /// Changes the list: one revision for all changes.
-    pub fn change(&self, change: impl FnOnce(&mut Vec<Listed>)) -> u64 {
-        let mut state = self.state.lock().unwrap();
-        let before: Vec<(String, String)> = state.members.iter().map(|m| (m.id.clone(), m.json())).collect();
-        change(&mut state.members);
-        state.revision += 1;
-        let revision = state.revision;
-        for member in &mut state.members {
-            let json = member.json();
-            if !before.iter().any(|(id, old)| *id == member.id && *old == json) {
-                member.changed = revision;
-            }
-        }
-        revision
-    }
-
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
         let request = read_message(&mut reader)?;
-        let opened = Instant::now();
         let call = {
             let mut state = self.state.lock().unwrap();
             state.calls += 1;
@@ -322,9 +273,7 @@
         loop {
             let line = {
                 let state = self.state.lock().unwrap();
-                if state.silent_before.is_some_and(|t| opened < t) {
-                    None
-                } else if first && index == 0 {
+                if first && index == 0 {
                     told = state.revision;
                     Some(list_json(told, true, &state.members.iter().filter(|m| m.phase != "terminated").cloned().collect::<Vec<_>>()))
                 } else if state.revision > told {
@@ -351,60 +300,7 @@
     }
 }
 
-/// What a server does with a request.
-pub enum Reply {
-    /// Answers after a time.
-    Answer { after: Duration, status: u16, headers: String, body: Vec<u8> },
-    /// Says nothing and keeps the connection.
-    Silent,
-    /// Resets the connection after a time.
-    Close { after: Duration },
-}
-
-pub type Handler = Arc<dyn Fn(&Message) -> Reply + Send + Sync>;
-
-/// A server; each connection has a thread.
-pub fn start_server(handler: Handler) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
-            small_thread(move || {
-                let _ = serve_connection(stream, &handler);
-            });
-        }
-    });
-    addr
-}
-
-fn serve_connection(mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut reader = BufReader::new(stream.try_clone()?);
-    loop {
-        let request = read_message(&mut reader)?;
-        match handler(&request) {
-            Reply::Answer { after, status, headers, body } => {
-                thread::sleep(after);
-                let head = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
-                let mut bytes = head.into_bytes();
-                bytes.extend_from_slice(&body);
-                stream.write_all(&bytes)?;
-            }
-            Reply::Silent => {
-                let mut rest = [0; 1024];
-                while reader.read(&mut rest)? > 0 {}
-                return Ok(());
-            }
-            Reply::Close { after } => {
-                thread::sleep(after);
-                let _ = stream.shutdown(Shutdown::Both);
-                return Ok(());
-            }
-        }
-    }
-}
-
+/// A class of requests.
 pub struct ClassSpec<'a> {
     pub name: &'a str,
     pub semantics: &'a str,
@@ -414,11 +310,6 @@
 
 /// The settings of a small deployment, in the form of the simulator's first message.
 pub fn settings(nodes: u64, classes: &[ClassSpec], key_scope: &str, key_ttl_ms: u64) -> String {
-    settings_with_lists("ask", nodes, classes, key_scope, key_ttl_ms)
-}
-
-/// The same with lists that are asked for (`ask`) or pushed by an agent on the node's machine (`push`).
-pub fn settings_with_lists(mode: &str, nodes: u64, classes: &[ClassSpec], key_scope: &str, key_ttl_ms: u64) -> String {
     let classes: Vec<String> = classes
         .iter()
         .map(|c| {
@@ -433,7 +324,7 @@
          \"max-retry-after\":2000000,\"max-streams\":1,\"may-probe\":true,\"open-cap\":28741,\"peer-messages\":true,\"retry-after\":true,\"second-copies\":true}},\
          \"classes\":[{}],\"clients\":{{\"marks-retry\":true}},\"deductions\":{{\"cross-zone\":0.01,\"handshake\":0.0,\"late-fail\":0.08,\"peer\":0.01,\"probe\":0.01,\"waste\":0.2}},\
          \"domain\":{{\"warm-keys\":true}},\"family\":\"proxy\",\"granularity\":5000,\"group-size\":{nodes},\"kinds\":[\"full-box\",\"slow-box\"],\"locality\":\"swansea\",\"me\":0,\
-         \"over-share-worth\":0.1,\"registry-mode\":\"{mode}\",\"report\":{{\"fields\":[\"queue\",\"util\"],\"how\":\"inline\"}},\
+         \"over-share-worth\":0.1,\"registry-mode\":\"ask\",\"report\":{{\"fields\":[\"queue\",\"util\"],\"how\":\"inline\"}},\
          \"rules\":{{\"answer-slack\":20000,\"ask-within\":10000000,\"fall-multiple\":2.5,\"overload-for\":1000000,\"ramp-time\":9000000,\"start-capacity\":0.31,\"stop-sending-within\":500000}},\
          \"tenants\":[{{\"name\":\"rygbi-de\",\"quota-per-s\":0.0,\"share\":0.58}},{{\"name\":\"nofio-gogledd\",\"quota-per-s\":0.0,\"share\":0.42}}],\
          \"tier\":0,\"tiers\":[\"members-web\"],\"weight-source\":\"nominal\",\"worth-by\":\"work\",\"zones\":[\"cathays\",\"bangor\",\"swansea\"]}}",
@@ -447,8 +338,12 @@
     format!("{:08x}{:08x}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
+/// Times at which a proxy passed bytes on over 1 ms later than its delay, as the machine was busy.
+pub type LateTimes = Arc<Mutex<Vec<Instant>>>;
+
 /// A proxy that passes everything on after `delay`, in both directions.
-pub fn start_proxy(to: SocketAddr, delay: Duration) -> SocketAddr {
+pub fn start_proxy(to: SocketAddr, delay: Duration, late: &LateTimes) -> SocketAddr {
+    let late = late.clone();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -456,14 +351,14 @@
             let Ok(server) = TcpStream::connect(to) else { continue };
             let _ = (client.set_nodelay(true), server.set_nodelay(true));
             let (Ok(client2), Ok(server2)) = (client.try_clone(), server.try_clone()) else { continue };
-            pass_on(client, server2, delay);
-            pass_on(server, client2, delay);
+            pass_on(client, server2, delay, late.clone());
+            pass_on(server, client2, delay, late.clone());
         }
     });
     addr
 }
 
-fn pass_on(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+fn pass_on(mut from: TcpStream, mut to: TcpStream, delay: Duration, late: LateTimes) {
     let (tx, rx) = mpsc::channel::<(Instant, Vec<u8>)>();
     small_thread(move || {
         let mut buffer = [0; 8192];
@@ -477,6 +372,9 @@
     small_thread(move || {
         for (at, bytes) in rx {
             thread::sleep((at + delay).saturating_duration_since(Instant::now()));
+            if at.elapsed() > delay + Duration::from_millis(1) {
+                late.lock().unwrap().push(Instant::now());
+            }
             if bytes.is_empty() {
                 let _ = to.shutdown(Shutdown::Write);
                 return;
@@ -502,11 +400,6 @@
     quiet
 }
 
-/// Whether an error is the end of a read time-out.
-pub fn timed_out(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
-}
-
 /// Ends the case: 1 if the rule was broken, 0 if it held.
 pub fn finish(nodes: Vec<Node>, broken: bool) -> ! {
     drop(nodes);
