--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -371,6 +371,8 @@
     /// Whether the first answer to a call is always the whole list.
     pub whole_first: bool,
     pub watches: u64,
+    /// Revisions that were written to a watch, with the times after the writes.
+    pub written: Vec<(u64, Duration)>,
 }
 
 pub struct Discovery {
@@ -471,6 +473,7 @@
                 if stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_err() {
                     return;
                 }
+                state.written.push((told, self.record.now()));
             }
             state = self.state.1.wait_timeout(state, Duration::from_secs(2)).unwrap().0;
         }
@@ -575,43 +578,3 @@
         None => Reply { status: 0, body: String::new(), after },
     }
 }
-
-/// A relay in front of an address that delivers bytes and ends after `delay`, as a network between two
-/// machine rooms does.
-pub fn relay(to: SocketAddr, delay: Duration) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for near in listener.incoming().flatten() {
-            let Ok(far) = TcpStream::connect(to) else { continue };
-            let _ = (near.set_nodelay(true), far.set_nodelay(true));
-            for (from, to) in [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))] {
-                let (Ok(from), Ok(to)) = (from, to) else { continue };
-                pump(from, to, delay);
-            }
-        }
-    });
-    addr
-}
-
-fn pump(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
-    let (tx, rx) = std::sync::mpsc::channel::<(Instant, Vec<u8>)>();
-    thread::spawn(move || {
-        let mut buffer = vec![0; 65_536];
-        loop {
-            let read = from.read(&mut buffer).unwrap_or(0);
-            if tx.send((Instant::now() + delay, buffer[..read].to_vec())).is_err() || read == 0 {
-                return;
-            }
-        }
-    });
-    thread::spawn(move || {
-        for (due, bytes) in rx {
-            thread::sleep(due.saturating_duration_since(Instant::now()));
-            if bytes.is_empty() || to.write_all(&bytes).is_err() {
-                let _ = to.shutdown(std::net::Shutdown::Both);
-                return;
-            }
-        }
-    });
-}
