--- a/review/stand-ins-2/memory_limit.rs
+++ b/review/stand-ins-2/memory_limit.rs
@@ -21,7 +21,7 @@
 const PROCESSES: usize = 8;
 /// "32 to 192 MB by language and day, and 256 to 1,024 descriptors".
 const MEMORY_MB: u32 = 32;
-const SOCKETS: u32 = 1_024;
+const SOCKETS: u32 = 512;
 /// "Bodies hold at most 64 KiB".
 const LONG: usize = 64 * 1024;
 const SHORT: usize = 100;
