Keep the program of each review case in the folder of its case

Reason: the script that builds the earlier cases goes through all numbered folders and expects a case.rs in each.

--- a/review/stand-ins-2/open_ids.rs
+++ b/review/6/case.rs
@@ -1,7 +1,8 @@
-//! Case 8: bad clients send requests with the id of another client's open request. None of them may be served,
+//! Case 6: bad clients send requests with the id of another client's open request. None of them may be served,
 //! and no request of an unsafe class may run twice.
 
 #[allow(dead_code)]
+#[path = "../stand-ins-2/kit.rs"]
 mod kit;
 
 use std::collections::HashMap;
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 ROOT=$(cd ../.. && pwd)
 RECORD=$PWD/record.txt
 export ROOT RECORD
-for program in "$ROOT/target/release/woodgap" "$ROOT/target/review-2/open_ids"; do
+for program in "$ROOT/target/release/woodgap" "$ROOT/target/review-2/case6"; do
     [ -x "$program" ] || { echo "could not run: $program is not built"; exit 2; }
 done
-exec "$ROOT/target/review-2/open_ids"
+exec "$ROOT/target/review-2/case6"
--- a/review/stand-ins-2/memory_limit.rs
+++ b/review/7/case.rs
@@ -2,6 +2,7 @@
 //! a node that takes more memory than its configuration allows.
 
 #[allow(dead_code)]
+#[path = "../stand-ins-2/kit.rs"]
 mod kit;
 
 use std::io::{BufRead, BufReader, Write};
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,7 +5,7 @@
 ROOT=$(cd ../.. && pwd)
 RECORD=$PWD/record.txt
 export ROOT RECORD
-for program in "$ROOT/target/release/woodgap" "$ROOT/target/review-2/memory_limit"; do
+for program in "$ROOT/target/release/woodgap" "$ROOT/target/review-2/case7"; do
     [ -x "$program" ] || { echo "could not run: $program is not built"; exit 2; }
 done
-exec "$ROOT/target/review-2/memory_limit"
+exec "$ROOT/target/review-2/case7"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,8 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10 into target/review-2, with rustc and the standard library alone.
+# Builds the programs of the cases 6 to 8 into target/review-2, with rustc and the standard library alone.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in review/stand-ins-2/*.rs; do
-    name=$(basename "$program" .rs)
-    [ "$name" = kit ] || rustc --edition 2021 -O -o "target/review-2/$name" "$program"
+for case in 6 7 8; do
+    rustc --edition 2021 -O -o "target/review-2/case$case" "review/$case/case.rs"
 done
