Reject requests under an id that another request has used

Cause: PendingRequest forgot an id with the response, and when the client disconnected; a server may run the request longer than either. The id was claimed after the body, so a copy could overtake a request that arrives slowly. Change: front/transaction_ids.rs. Ids of refused and incomplete requests are free again. Why it works: the memory goes by the number of requests, not by time, and covers every class and both protocols.

Tests that changed: request_with_the_id_of_an_open_one_is_rejected and request_under_an_open_id_is_rejected expected that the id of an answered request is served again. Failed try: ids of refused requests were kept too; a client that repeats a refused request under its id got 409 for good.

--- a/crates/node/src/front/manager.rs
+++ b/crates/node/src/front/manager.rs
@@ -15,6 +15,7 @@
 
 use super::connection::ClientConnection;
 use super::linger::MAX_LINGERING_CONNECTIONS;
+use super::transaction_ids::TransactionIds;
 use super::PoolDirectory;
 use crate::sockets::SocketBudget;
 use crate::task::{LocalPermit, LocalSemaphore};
@@ -41,6 +42,8 @@
     pub(super) refusal_budget: Rc<LocalSemaphore>,
     /// Limits the connections that the node has closed for writing and the client has not closed yet.
     pub(super) lingering_budget: Rc<LocalSemaphore>,
+    /// The clients' ids of requests that are open or were used lately.
+    pub(super) transaction_ids: TransactionIds,
     pub(super) next_request_id: Cell<u64>,
     pub(super) next_connection_id: Cell<u64>,
     /// The open connections by their ids.
@@ -60,12 +63,13 @@
 
 impl ConnectionManager {
     /// Creates a manager. The first of the `budgets` limits the connections that are served, the second one
-    /// those that are only refused.
+    /// those that are only refused. `memory` is that of the node, in bytes.
     pub fn new(
         directory: Rc<dyn PoolDirectory>,
         send_retry_after: bool,
         sockets: Rc<SocketBudget>,
         budgets: (Rc<LocalSemaphore>, Rc<LocalSemaphore>),
+        memory: usize,
     ) -> Rc<Self> {
         let manager = Rc::new(ConnectionManager {
             directory,
@@ -74,6 +78,7 @@
             connection_budget: budgets.0,
             refusal_budget: budgets.1,
             lingering_budget: LocalSemaphore::new(MAX_LINGERING_CONNECTIONS),
+            transaction_ids: TransactionIds::new(memory),
             next_request_id: Cell::new(1),
             next_connection_id: Cell::new(0),
             connections: RefCell::default(),
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -33,6 +33,7 @@
 pub mod socket;
 #[cfg(feature = "hosted")]
 pub mod tls;
+mod transaction_ids;
 
 use std::any::Any;
 use std::rc::Rc;
--- a/crates/node/src/front/request_handler.rs
+++ b/crates/node/src/front/request_handler.rs
@@ -113,6 +113,10 @@
         let chunked = conn.content_lengths.is_chunked_only(&parts);
         let head =
             RequestHead::parse(parts, min_body, chunked, &pool.settings, &pool.names, pool.org_is_tenant)?;
+        // Claimed before the body arrives, so that no other request takes the id of one that arrives slowly.
+        let Some(mut claim) = self.transaction_ids.claim(usage.uid, &head.transaction_id) else {
+            return Err((StatusCode::CONFLICT, "a request with this X-Txn is open, or may have run\n"));
+        };
         let permit = match self.reserve_request(pool, max_body).await {
             Ok(permit) => permit,
             Err(rejection) => {
@@ -134,11 +138,8 @@
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.time_limit.saturating_sub(RESPONSE_MARGIN);
         let deadline = self.shutdown_deadline.get().map_or(deadline, |shutdown| deadline.min(shutdown));
-        // Servers distinguish requests by the client's id. A second request under an open id would run its
-        // effect twice, or receive the response to the first one.
-        let Some(pending) = PendingRequest::new(pool, head.transaction_id) else {
-            return Err((StatusCode::CONFLICT, "a request with this X-Txn is open\n"));
-        };
+        claim.set_may_have_run(true);
+        let pending = PendingRequest::new(pool);
         let upstream_request = Rc::new(UpstreamRequest {
             method: head.method,
             target: head.target,
@@ -192,6 +193,7 @@
                 served_response(headers, body)
             }
             FinalResponse::Refused(retry_after) => {
+                claim.set_may_have_run(false);
                 increment(&usage.refused);
                 self.refusal_response(StatusCode::SERVICE_UNAVAILABLE, REFUSED, retry_after)
             }
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -33,6 +33,8 @@
 /// Longer than any step of a test takes on a working machine.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Memory of the node, in bytes.
+const NODE_MEMORY: usize = 64 << 20;
 /// Number of sockets that the node may use.
 const MAX_SOCKETS: usize = 64;
 
@@ -99,7 +101,8 @@
         let sockets = SocketBudget::new(MAX_SOCKETS);
         let permit_marker = Rc::new(());
         let directory = SinglePool { pool: Rc::new(pool), permit_marker: permit_marker.clone() };
-        let manager = ConnectionManager::new(Rc::new(directory), false, sockets.clone(), budgets);
+        let manager =
+            ConnectionManager::new(Rc::new(directory), false, sockets.clone(), budgets, NODE_MEMORY);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         spawn_local(manager.clone().accept_http1(listener, ListenerSettings::plain_tcp("")));
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -290,7 +290,7 @@
     });
     let tenants = Tenants::new(limits, sockets.clone(), drained, paths);
     let budgets = (LocalSemaphore::new(connections), LocalSemaphore::new(OVERFLOW_CONNECTIONS));
-    let clients = ConnectionManager::new(tenants.clone(), true, sockets, budgets);
+    let clients = ConnectionManager::new(tenants.clone(), true, sockets, budgets, config.memory);
     tenants.set_connection_manager(&clients);
     control::tenant_views(&catalogue).for_each(|view| tenants.update(view));
 
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -63,6 +63,7 @@
             LocalSemaphore::new((total_sockets as f64 * CLIENT_SOCKET_SHARE) as usize),
             LocalSemaphore::new(OVERFLOW_CONNECTIONS),
         ),
+        config.memory,
     );
     if let Some(peers) = peers {
         let tx = tx.clone();
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -17,8 +17,9 @@
 pub mod admission;
 pub mod driver;
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::cell::Cell;
+#[cfg(feature = "hosted")]
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use tokio::sync::mpsc;
@@ -37,8 +38,6 @@
     pub held_requests: Cell<usize>,
     /// Number of client connections whose latest request was for this tenant.
     pub connections: Cell<usize>,
-    /// Request identifiers chosen by clients (`X-Txn`) of the requests that are open.
-    pub open_transaction_ids: RefCell<HashSet<String>>,
     /// Number of requests that a server responded to.
     pub served: Cell<u64>,
     /// Number of requests that were refused.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 use std::io::BufRead;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -58,6 +59,12 @@
     }
 }
 
+/// Returns an id that no other request of the test's process has.
+pub fn new_id() -> String {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    format!("id{}", COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A request of a class (`look` is safe, `pay` unsafe, `put` keyed), with the time that is left for it.
 pub fn request(class: &str, id: &str, remaining_ms: u64) -> Vec<u8> {
     request_with_key("7f3a", class, id, remaining_ms)
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -2,6 +2,7 @@
 //! answered.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -74,8 +75,11 @@
     total: usize,
 }
 
-/// Runs a load; `make_request` returns the request of each number, from 0.
+/// Runs a load; `make_request` returns the request of each number, from 0. The number of the run is appended to the
+/// requests' ids, as the ids of all runs have to differ.
 pub async fn run(load: Load, make_request: impl Fn(u64) -> ClientRequest) -> LoadReport {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
     let report = Arc::new(Mutex::new(LoadReport::default()));
     let pool = Arc::new(Mutex::new(ConnectionPool { idle: Vec::new(), total: 0 }));
     let start = Instant::now();
@@ -89,7 +93,8 @@
         let due_now = ((start.elapsed().as_secs_f64() * load.requests_per_s) as u64).min(total);
         while due < due_now {
             let scheduled_at = start + Duration::from_secs_f64(due as f64 / load.requests_per_s);
-            let request = make_request(due);
+            let mut request = make_request(due);
+            request.txn += &format!("-run{run}");
             due += 1;
             let connection = {
                 let mut pool = pool.lock().unwrap_or_else(PoisonError::into_inner);
