Reserve a request's response and its place once its body has arrived

Cause: reserve_request took memory for the whole declared body and the longest response with the head (190 KB for 64,000 bytes), and at the hosted node one of the held requests, for as long as the body arrived. Change: PoolDirectory::reserve_body with the head, reserve_request after the body. Why it works: a whole request finds the half that arriving bodies cannot take, however many there are and however slow.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -71,6 +71,11 @@
         Ok(())
     }
 
+    /// Number of bytes received so far.
+    pub fn received_bytes(&self) -> usize {
+        self.data.len()
+    }
+
     /// The complete body, without copying it.
     pub fn into_bytes(self) -> Bytes {
         Bytes::from(self.data)
--- a/crates/node/src/front/connection_limits.rs
+++ b/crates/node/src/front/connection_limits.rs
@@ -65,20 +65,34 @@
         );
     }
 
-    /// Reserves capacity for a request. If there is none, requests of the same tenant are refused whose bodies
-    /// have stopped to arrive, the longest stalled first, as they hold capacity that whole requests need.
-    pub(super) async fn reserve_request(
+    /// Reserves capacity for a body that is to be received.
+    pub(super) async fn reserve_body(
         &self,
         pool: &Rc<PoolHandle>,
-        body: u64,
+        max_bytes: u64,
     ) -> Result<RequestPermit, Rejection> {
-        let mut reserved = self.directory.reserve_request(pool, body);
+        self.reserve_from_stalled(pool, || self.directory.reserve_body(pool, max_bytes)).await
+    }
+
+    /// Reserves capacity for sending a request that has been received.
+    pub(super) async fn reserve_request(&self, pool: &Rc<PoolHandle>) -> Result<RequestPermit, Rejection> {
+        self.reserve_from_stalled(pool, || self.directory.reserve_request(pool)).await
+    }
+
+    /// Reserves capacity. If there is none, requests of the same tenant are refused whose bodies have stopped to
+    /// arrive, the longest stalled first, as they hold capacity that others need.
+    async fn reserve_from_stalled(
+        &self,
+        pool: &Rc<PoolHandle>,
+        reserve: impl Fn() -> Result<RequestPermit, Rejection>,
+    ) -> Result<RequestPermit, Rejection> {
+        let mut reserved = reserve();
         for _ in 0..MAX_HANDOVER_WAITS {
             if reserved.is_ok() || !self.refuse_stalled_body(pool.usage.uid) {
                 break;
             }
             let _ = timeout(HANDOVER_TIMEOUT, self.connection_ended.notified()).await;
-            reserved = self.directory.reserve_request(pool, body);
+            reserved = reserve();
         }
         reserved
     }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -5,6 +5,7 @@
 //!   listener ─▶ http1, http3 ─▶ manager ─▶ PoolDirectory::find_pool (which tenant?)
 //!                                       ─▶ PoolDirectory::admit_request (quota, CPU time)
 //!                                       ─▶ request::RequestHead (validation)
+//!                                       ─▶ PoolDirectory::reserve_body (capacity) ─▶ request_body
 //!                                       ─▶ PoolDirectory::reserve_request (capacity) ─▶ PoolHandle::tx ─▶ pool
 //! ```
 //!
@@ -51,6 +52,10 @@
 /// Status and body of the response to a request that names no known tenant.
 pub const NO_TENANT: RequestError = (StatusCode::NOT_FOUND, "no such tenant\n");
 
+/// A body of up to this many bytes is short. Bodies that arrive slowly take no capacity from requests with short ones:
+/// most requests have such a body, and it fits into the buffers that its connection has in any case.
+pub const MAX_SHORT_BODY_BYTES: u64 = 4 * 1024;
+
 /// Capacity reserved for a request, or for a connection of a tenant; released when dropped.
 pub type RequestPermit = Box<dyn Any>;
 
@@ -81,8 +86,12 @@
         None
     }
 
-    /// Reserves capacity for a request with a body of this many bytes.
-    fn reserve_request(&self, pool: &Rc<PoolHandle>, body: u64) -> Result<RequestPermit, Rejection>;
+    /// Reserves capacity for a body of at most this many bytes, which is to be received. The permit is held for as
+    /// long as the request is open.
+    fn reserve_body(&self, pool: &Rc<PoolHandle>, max_bytes: u64) -> Result<RequestPermit, Rejection>;
+
+    /// Reserves capacity for sending a request to a server, once its body has been received.
+    fn reserve_request(&self, pool: &Rc<PoolHandle>) -> Result<RequestPermit, Rejection>;
 
     /// Reserves one of the connections of the pool's tenant. On `None` the connection is closed after the
     /// response.
--- a/crates/node/src/front/refusal.rs
+++ b/crates/node/src/front/refusal.rs
@@ -14,6 +14,9 @@
 
 /// Body of the refusal of a request that no server has received.
 pub const REFUSED: &str = "refused\n";
+/// The refusal of a request for which the node has no capacity.
+pub const OVERLOADED: Rejection =
+    Rejection { status: StatusCode::SERVICE_UNAVAILABLE, reason: REFUSED, retry_after: OVERLOAD_RETRY_AFTER };
 /// Time in which a refusal of a few bytes is handed to the system, which has room for it.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(5);
 
@@ -43,7 +46,7 @@
 
     /// Returns the refusal of a request for which the node has no capacity.
     pub(super) fn overload_response(&self) -> Response<Full<Bytes>> {
-        self.refusal_response(StatusCode::SERVICE_UNAVAILABLE, REFUSED, Some(OVERLOAD_RETRY_AFTER))
+        self.rejection_response(OVERLOADED)
     }
 
     /// Writes the refusal of a request whose head has not arrived completely, on a connection that is closed
--- a/crates/node/src/front/request_handler.rs
+++ b/crates/node/src/front/request_handler.rs
@@ -19,13 +19,12 @@
 use super::pending_request::PendingRequest;
 use super::refusal::{text_response, REFUSED};
 use super::request::{remove_hop_by_hop_headers, RequestError, RequestHead};
-use super::request_body::receive_body;
 use crate::meter::TenantMeter;
 #[cfg(feature = "hosted")]
 use crate::pool::admission::{AdmissionOutcome, AdmissionRequest};
 use crate::pool::driver::{DriverMessage, FinalResponse, RequestArrival};
 use crate::pool::{increment, PoolHandle};
-use crate::upstream::exchange::{UpstreamRequest, MAX_BODY_BYTES};
+use crate::upstream::exchange::UpstreamRequest;
 
 /// Subtracted from the time limit of a request, so that the response arrives in time: the client counts from
 /// its write, the node from its read, and the response takes time on the network as well.
@@ -106,10 +105,7 @@
             increment(&usage.refused);
             return Ok(self.rejection_response(rejection));
         }
-        let body_size = body.size_hint();
-        let min_body = body_size.lower();
-        // A body without a declared length may have the maximum length.
-        let max_body = body_size.upper().unwrap_or(MAX_BODY_BYTES as u64).min(MAX_BODY_BYTES as u64);
+        let min_body = body.size_hint().lower();
         let chunked = conn.content_lengths.is_chunked_only(&parts);
         let head =
             RequestHead::parse(parts, min_body, chunked, &pool.settings, &pool.names, pool.org_is_tenant)?;
@@ -117,20 +113,13 @@
         let Some(mut claim) = self.transaction_ids.claim(usage.uid, &head.transaction_id) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Txn is open, or may have run\n"));
         };
-        let permit = match self.reserve_request(pool, max_body).await {
-            Ok(permit) => permit,
+        let received = match self.receive_body(body, body_deadline, pool, conn).await? {
+            Ok(received) => received,
             Err(rejection) => {
                 increment(&usage.refused);
-                self.discard_rest(body, body_deadline, conn).await;
                 return Ok(self.rejection_response(rejection));
             }
         };
-        let Some(body) = receive_body(body, body_deadline, conn).await? else {
-            increment(&usage.refused);
-            // Wakes the request that needs the capacity, which is released as this function returns.
-            self.connection_ended.notify_waiters();
-            return Ok(self.overload_response());
-        };
         // The tenant may have been deleted while the body arrived: nothing new is accepted from then on.
         if usage.is_deleted.get() {
             return Err(super::NO_TENANT);
@@ -138,13 +127,20 @@
         // A request's time counts from its last byte.
         let deadline = Instant::now() + head.time_limit.saturating_sub(RESPONSE_MARGIN);
         let deadline = self.shutdown_deadline.get().map_or(deadline, |shutdown| deadline.min(shutdown));
+        let request_permit = match self.reserve_request(pool).await {
+            Ok(permit) => permit,
+            Err(rejection) => {
+                increment(&usage.refused);
+                return Ok(self.rejection_response(rejection));
+            }
+        };
         claim.set_may_have_run(true);
         let pending = PendingRequest::new(pool);
         let upstream_request = Rc::new(UpstreamRequest {
             method: head.method,
             target: head.target,
             headers: head.headers,
-            body,
+            body: received.body,
         });
         // Each submission has a new id, as the pool may still know the previous one.
         let submit = || {
@@ -186,7 +182,7 @@
         };
         #[cfg(not(feature = "hosted"))]
         let response = submit().await.0;
-        conn.hold_until_written(permit);
+        conn.hold_until_written(Box::new((received.permit, request_permit)));
         Ok(match response {
             FinalResponse::Served(headers, body) => {
                 increment(&usage.served);
--- a/crates/node/src/front/tests.rs
+++ b/crates/node/src/front/tests.rs
@@ -50,10 +50,14 @@
         Ok(self.pool.clone())
     }
 
-    fn reserve_request(&self, _: &Rc<PoolHandle>, _: u64) -> Result<RequestPermit, Rejection> {
+    fn reserve_body(&self, _: &Rc<PoolHandle>, _: u64) -> Result<RequestPermit, Rejection> {
         Ok(Box::new(self.permit_marker.clone()))
     }
 
+    fn reserve_request(&self, _: &Rc<PoolHandle>) -> Result<RequestPermit, Rejection> {
+        Ok(Box::new(()))
+    }
+
     fn max_request_duration(&self) -> Duration {
         Duration::from_secs(60)
     }
--- a/crates/node/src/platform/limits.rs
+++ b/crates/node/src/platform/limits.rs
@@ -3,6 +3,7 @@
 //! The memory is divided: sockets and open requests have a share each, and the rest is for the program, the server
 //! list, and memory that the allocator cannot use.
 
+use crate::front::MAX_SHORT_BODY_BYTES;
 use crate::upstream::exchange::MAX_BODY_BYTES;
 
 /// File descriptors that are not sockets of clients or servers: the standard streams, the runtime's, the
@@ -23,6 +24,9 @@
 const BYTES_PER_SOCKET: usize = 32 * 1024;
 /// Share of the memory that open requests may take.
 const REQUEST_MEMORY_SHARE: f64 = 0.4;
+/// Share of the memory of open requests that bodies may take which are not short, so that requests whose bodies have
+/// arrived find memory beside bodies that arrive slowly.
+pub(super) const BODY_MEMORY_SHARE: f64 = 0.5;
 /// What the buffers of the two connections of an open request grow by.
 const REQUEST_BUFFER_BYTES: usize = 32 * 1024;
 
@@ -33,18 +37,26 @@
     by_descriptors.min(by_memory).max(2)
 }
 
-/// Memory that all open requests of a node with this memory may take, in bytes. At least one fits.
+/// Memory that all open requests of a node with this memory may take, in bytes. At least two fit.
 pub(super) fn request_memory(memory: usize) -> usize {
-    ((memory as f64 * REQUEST_MEMORY_SHARE) as usize).max(request_bytes(MAX_BODY_BYTES as u64))
+    ((memory as f64 * REQUEST_MEMORY_SHARE) as usize).max(2 * LONGEST_REQUEST_MEMORY)
 }
 
-/// Memory of an open request with a body of this many bytes, whose response may have the maximum length. A quarter is
-/// added for what the allocator can't use between long bodies.
-pub(super) fn request_bytes(body: u64) -> usize {
-    let body = usize::try_from(body).map_or(MAX_BODY_BYTES, |body| body.min(MAX_BODY_BYTES));
-    (body + MAX_BODY_BYTES) * 5 / 4 + REQUEST_BUFFER_BYTES
+/// Memory of a request's body of at most this many bytes, while it arrives and until the response. A short one fits
+/// into what its connection has in any case. A quarter is added for what the allocator can't use between long bodies.
+pub(super) fn body_memory(max_bytes: u64) -> usize {
+    if max_bytes <= MAX_SHORT_BODY_BYTES {
+        return 0;
+    }
+    usize::try_from(max_bytes).map_or(MAX_BODY_BYTES, |bytes| bytes.min(MAX_BODY_BYTES)) * 5 / 4
 }
 
+/// Memory of a request at a server, beside its body: its response may have the maximum length.
+pub(super) const RESPONSE_MEMORY: usize = MAX_BODY_BYTES * 5 / 4 + REQUEST_BUFFER_BYTES;
+
+/// Memory of a request with the longest body and the longest response.
+const LONGEST_REQUEST_MEMORY: usize = MAX_BODY_BYTES * 5 / 4 + RESPONSE_MEMORY;
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -57,9 +69,9 @@
         {
             let memory = memory_mb << 20;
             assert_eq!(max_sockets(descriptors, memory), sockets, "{descriptors} {memory_mb}");
-            let long_requests = request_memory(memory) / request_bytes(MAX_BODY_BYTES as u64);
+            let long_requests = request_memory(memory) / LONGEST_REQUEST_MEMORY;
             assert!(long_requests >= 1);
-            let used = sockets * BYTES_PER_SOCKET + long_requests * request_bytes(MAX_BODY_BYTES as u64);
+            let used = sockets * BYTES_PER_SOCKET + long_requests * LONGEST_REQUEST_MEMORY;
             assert!(used <= memory / 4 * 3, "{descriptors} {memory_mb}: {used}");
         }
     }
--- a/crates/node/src/platform/single_pool.rs
+++ b/crates/node/src/platform/single_pool.rs
@@ -4,14 +4,12 @@
 use std::time::Duration;
 
 use hyper::http::request::Parts;
-use hyper::StatusCode;
 use tokio::sync::mpsc;
 use woodgap_decisions::settings::ClassTenantNames;
 use woodgap_decisions::BalancerSettings;
 
-use super::limits::request_bytes;
-use crate::front::manager::OVERLOAD_RETRY_AFTER;
-use crate::front::refusal::REFUSED;
+use super::limits::{body_memory, BODY_MEMORY_SHARE, RESPONSE_MEMORY};
+use crate::front::refusal::OVERLOADED;
 use crate::front::request::RequestError;
 use crate::front::{PoolDirectory, Rejection, RequestPermit};
 use crate::pool::driver::DriverMessage;
@@ -24,12 +22,15 @@
     max_open: usize,
     /// Memory of open requests, in bytes.
     memory: Rc<LocalSemaphore>,
+    /// The part of it that bodies may take.
+    bodies: Rc<LocalSemaphore>,
 }
 
 impl RequestLimits {
     /// Creates the limits for a number of requests, and for the memory of all of them in bytes.
     pub(super) fn new(max_open: usize, memory: usize) -> Self {
-        RequestLimits { max_open, memory: LocalSemaphore::new(memory) }
+        let bodies = LocalSemaphore::new((memory as f64 * BODY_MEMORY_SHARE) as usize);
+        RequestLimits { max_open, memory: LocalSemaphore::new(memory), bodies }
     }
 }
 
@@ -67,15 +68,20 @@
         Ok(self.pool.clone())
     }
 
-    fn reserve_request(&self, pool: &Rc<PoolHandle>, body: u64) -> Result<RequestPermit, Rejection> {
-        let is_below_limit = pool.usage.held_requests.get() < self.limits.max_open;
-        let memory =
-            is_below_limit.then(|| self.limits.memory.try_acquire_many(request_bytes(body))).flatten();
-        let Some(memory) = memory else {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Rejection { status, reason: REFUSED, retry_after: OVERLOAD_RETRY_AFTER });
-        };
+    fn reserve_body(&self, pool: &Rc<PoolHandle>, max_bytes: u64) -> Result<RequestPermit, Rejection> {
+        let memory = body_memory(max_bytes);
+        let bodies = self.limits.bodies.try_acquire_many(memory).ok_or(OVERLOADED)?;
+        let memory = self.limits.memory.try_acquire_many(memory).ok_or(OVERLOADED)?;
         let count = CountGuard::new(pool.usage.clone(), |usage| &usage.held_requests);
+        Ok(Box::new((bodies, memory, count)))
+    }
+
+    fn reserve_request(&self, pool: &Rc<PoolHandle>) -> Result<RequestPermit, Rejection> {
+        if pool.usage.submitted_requests.get() >= self.limits.max_open {
+            return Err(OVERLOADED);
+        }
+        let memory = self.limits.memory.try_acquire_many(RESPONSE_MEMORY).ok_or(OVERLOADED)?;
+        let count = CountGuard::new(pool.usage.clone(), |usage| &usage.submitted_requests);
         Ok(Box::new((memory, count)))
     }
 
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -36,6 +36,8 @@
     pub uid: Uid,
     /// Number of open requests: those whose head was read and whose response is not sent yet.
     pub held_requests: Cell<usize>,
+    /// Number of the open requests whose body has been received, and that may be sent to a server.
+    pub submitted_requests: Cell<usize>,
     /// Number of client connections whose latest request was for this tenant.
     pub connections: Cell<usize>,
     /// Number of requests that a server responded to.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -83,6 +83,16 @@
     .into_bytes()
 }
 
+/// An unsafe request with a body of this many bytes.
+pub fn long_request(id: &str, body_bytes: usize, remaining_ms: u64) -> Vec<u8> {
+    let body = "x".repeat(body_bytes);
+    format!(
+        "POST /api?key=7f3a HTTP/1.1\r\nHost: service.internal\r\nX-Txn: {id}\r\nX-Lane: pay\r\nX-Org: acme\r\n\
+        X-Remaining-Ms: {remaining_ms}\r\nContent-Length: {body_bytes}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
 /// Waits until a condition holds; fails after [`TEST_TIMEOUT`].
 pub fn wait_until(description: &str, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/crates/node/tests/node_stalled_clients.rs
+++ b/crates/node/tests/node_stalled_clients.rs
@@ -21,6 +21,8 @@
 /// Later than this after its time a request is lost.
 const MAX_LATE: Duration = Duration::from_millis(550);
 
+/// Length of a body that is not short.
+const LONG_BODY_BYTES: usize = 60_000;
 /// The node serves again before the stopped bodies exceed their timeout of 2.5 s.
 const MAX_REFUSING: Duration = Duration::from_secs(2);
 
@@ -70,16 +72,17 @@
 // and all others were refused.
 #[test]
 fn whole_request_is_served_beside_bodies_that_hold_all_memory() {
-    // A node of 3 MB has memory for fewer open requests than these, and for this many connections.
+    // A node of 3 MB has memory for fewer long bodies than these, and for this many connections.
     let test_node = TestNode::with_limits(1, json!({"sockets": 256, "memory_mb": 3}));
     let stopped: Vec<_> = (0..16)
         .map(|n| {
-            let whole = request("pay", &format!("stopped{n}"), 60_000);
+            let whole = long_request(&format!("stopped{n}"), LONG_BODY_BYTES, 60_000);
             connect_and_send(&test_node, &whole[..whole.len() - 1])
         })
         .collect();
     let start = Instant::now();
-    wait_until("a request is served", || test_node.send_request("pay", "whole").status() == 200);
+    let whole = long_request("whole", LONG_BODY_BYTES, 60_000);
+    wait_until("a request is served", || test_node.send_raw(&whole).status() == 200);
     assert!(start.elapsed() < MAX_REFUSING, "{:?}", start.elapsed());
     let refused = HttpMessage::read(&mut BufReader::new(&stopped[0])).map(|response| response.status());
     assert_eq!(refused, Some(503));
