Give an overdue request the response that its attempts' time-out gives

Callers saw: at a silent server a request that must not run twice got 502 or 504, a safe one 503 or 504, depending on which of two timers the driver handled first (the attempt's at the deadline, or the request's 5 ms later). Cause: respond_to_overdue answered without the balancer, although attempts were in flight. Change: it ends them as timed out, and the balancer responds. The driver still responds by itself if the balancer does not. Test: response_of_an_overdue_request_does_not_depend_on_the_timer_that_expires_first; a request without an attempt is answered as before (the older tests of the driver are unchanged). ReplySlot has a file of its own.

--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -3,6 +3,7 @@
 
 mod discovery_calls;
 mod messages;
+mod reply_slot;
 mod requests;
 
 use std::collections::{HashMap, HashSet, VecDeque};
--- a/crates/node/src/pool/driver/requests.rs
+++ b/crates/node/src/pool/driver/requests.rs
@@ -1,15 +1,14 @@
 //! Pending requests of a pool and their attempts: admission, sending, cancelling, and the one final response.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio_util::time::delay_queue;
 use woodgap_decisions::{Closed, Event, Micros, Outcome, Request, RequestId, ServerId};
 
-use super::{Driver, DriverMessage, DriverReply, DueItem, FinalResponse, RequestArrival};
+use super::reply_slot::ReplySlot;
+use super::{Driver, DriverMessage, DueItem, FinalResponse, RequestArrival};
 use crate::meter::metered;
 use crate::task::AbortOnDrop;
 use crate::upstream::attempt::IsAwaited;
@@ -27,36 +26,6 @@
     pub(super) _task: AbortOnDrop,
 }
 
-/// Sender of a request's final response, used once. Attempts check whether the client is connected here just
-/// before they write, since [`DriverMessage::ClientDisconnected`] may still be in the driver's queue.
-pub(super) struct ReplySlot(RefCell<Option<oneshot::Sender<DriverReply>>>);
-
-impl ReplySlot {
-    pub(super) fn new(reply: oneshot::Sender<DriverReply>) -> Rc<Self> {
-        Rc::new(ReplySlot(RefCell::new(Some(reply))))
-    }
-
-    /// Whether the request has no response yet and its client is still connected.
-    pub(super) fn is_awaited(&self) -> bool {
-        self.0.borrow().as_ref().is_some_and(|reply| !reply.is_closed())
-    }
-
-    /// Whether the client has disconnected and the driver has not yet handled that.
-    pub(super) fn client_disconnected(&self) -> bool {
-        self.0.borrow().as_ref().is_some_and(oneshot::Sender::is_closed)
-    }
-
-    /// Whether the request has its response, or the driver has handled that its client disconnected.
-    pub(super) fn is_finished(&self) -> bool {
-        self.0.borrow().is_none()
-    }
-
-    /// Takes the sender out, after which the request is finished.
-    pub(super) fn take(&self) -> Option<oneshot::Sender<DriverReply>> {
-        self.0.take()
-    }
-}
-
 /// A request that has no response yet or has attempts in flight.
 pub(super) struct TrackedRequest {
     pub(super) reply: Rc<ReplySlot>,
@@ -107,6 +76,9 @@
 
     /// Responds to a request that the balancer has not responded to by its deadline.
     pub(super) fn respond_to_overdue(&mut self, id: u64) {
+        if self.end_overdue_attempts(id) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(reply) = request.reply.take() else { return };
         let transaction = request.payload.headers.get("x-txn").and_then(|id| id.to_str().ok()).unwrap_or("-");
@@ -134,6 +106,24 @@
         self.remove_if_finished(id); // A request without attempts in flight has no later event that removes it.
     }
 
+    /// Ends the attempts of an overdue request as timed out. The balancer responds, as it does if an attempt's own timer
+    /// expires first: the response does not depend on which of the two does. Returns whether there was any.
+    fn end_overdue_attempts(&mut self, id: u64) -> bool {
+        let Some(request) = self.requests.get_mut(&id).filter(|request| !request.reply.is_finished()) else {
+            return false;
+        };
+        let in_flight = request.attempts.iter().enumerate().filter(|(_, attempt)| attempt.is_some());
+        let in_flight: Vec<u32> = in_flight.map(|(number, _)| number as u32).collect();
+        if !in_flight.is_empty() {
+            // The driver responds by itself if the balancer does not.
+            request.overdue_timer = self.due_queue.insert_at(DueItem::RequestOverdue(id), Instant::now());
+        }
+        for &attempt in &in_flight {
+            self.attempt_closed(id, attempt, Outcome::Timeout.into());
+        }
+        !in_flight.is_empty()
+    }
+
     /// Handles that the client of a request no longer waits for the response.
     pub(super) fn client_disconnected(&mut self, id: u64) {
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/crates/node/src/pool/driver/tests.rs
+++ b/crates/node/src/pool/driver/tests.rs
@@ -10,7 +10,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
 use tokio::sync::oneshot;
-use woodgap_decisions::{ClassId, RequestClass, Semantics, ServerState};
+use woodgap_decisions::{ClassId, Outcome, RequestClass, Semantics, ServerState};
 use woodgap_membership::Transport;
 
 fn arrival(id: u64) -> (RequestArrival, oneshot::Receiver<DriverReply>) {
@@ -135,3 +135,36 @@
         assert!(driver.requests.is_empty(), "{order:?}");
     }
 }
+
+// A request whose server does not respond gets the same response whether the timer of its attempt or that of the
+// request is handled first. On a busy machine it got 504 in place of 502.
+#[tokio::test]
+async fn response_of_an_overdue_request_does_not_depend_on_the_timer_that_expires_first() {
+    let run = async {
+        for attempt_first in [true, false] {
+            let (tx, _rx) = mpsc::unbounded_channel();
+            let mut driver = driver_with_server(&tx);
+            let (mut arrival, mut reply_receiver) = arrival(1);
+            arrival.deadline += Duration::from_millis(20);
+            driver.accept_request(arrival);
+            driver.process_events();
+            assert!(driver.requests[&1].attempts[0].is_some());
+            tokio::time::advance(Duration::from_millis(30)).await;
+            let timeout =
+                || DriverMessage::AttemptClosed { id: 1, attempt: 0, result: Outcome::Timeout.into() };
+            if attempt_first {
+                driver.handle_message(timeout());
+            } else {
+                driver.handle_due(DueItem::RequestOverdue(1));
+            }
+            driver.process_events();
+            let (response, _) = reply_receiver.try_recv().unwrap();
+            assert!(matches!(response, FinalResponse::Failed), "attempt first: {attempt_first}");
+            driver.handle_message(timeout());
+            driver.process_events();
+            assert!(driver.requests.is_empty(), "attempt first: {attempt_first}");
+        }
+    };
+    tokio::time::pause();
+    tokio::task::LocalSet::new().run_until(run).await;
+}
