--- a/crates/node/src/front/transaction_ids.rs
+++ b/crates/node/src/front/transaction_ids.rs
@@ -1,4 +1,4 @@
-//! The clients' ids of requests (`X-Txn`) that are open or were were used lately.
+//! The clients' ids of requests (`X-Txn`) that are open or were used lately.
 //!
 //! Servers distinguish requests by these ids. A request under an id that another one has used would run that
 //! request's effect a second time, or receive its response. The id of a request that may have run therefore stays in
