Give each repeated request of the tests a new id

The test repeats its requests until the list is in effect, under the same ids; without load once was enough. Change: the requests that tests repeat in wait_until have new ids: node_signals.rs, node.rs, node_clients.rs, node_spoilt.rs. In attempts.rs and request_deadlines.rs a 409 for the repeated id would have met the condition for the wrong reason.

--- a/crates/node/tests/attempts.rs
+++ b/crates/node/tests/attempts.rs
@@ -51,6 +51,6 @@
     // Without the header the request may have had an effect.
     test_node.set_all_behaviors(ServerBehavior::RespondRaw("HTTP/1.1 503 Busy\r\n\r\nbu", 1));
     wait_until("the request reaches a server and fails", || {
-        ![200, 429, 503].contains(&test_node.send_request("pay", "2").status())
+        ![200, 429, 503].contains(&test_node.send_request("pay", &new_id()).status())
     });
 }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -97,7 +97,7 @@
     let response = test_node.send_request("pay", "1");
     assert_eq!(response.status(), 503);
     test_node.set_all_behaviors(ServerBehavior::Serve);
-    wait_until("requests are served again", || test_node.send_request("pay", "2").status() == 200);
+    wait_until("requests are served again", || test_node.send_request("pay", &new_id()).status() == 200);
 }
 
 #[test]
--- a/crates/node/tests/node_clients.rs
+++ b/crates/node/tests/node_clients.rs
@@ -69,7 +69,7 @@
     assert_eq!((response.status(), response.header("connection")), (503, "close"));
     test_node.set_all_behaviors(ServerBehavior::Serve);
     drop(held_streams);
-    wait_until("requests are served again", || test_node.send_request("pay", "2").status() == 200);
+    wait_until("requests are served again", || test_node.send_request("pay", &new_id()).status() == 200);
 }
 
 // Clients that send one request and keep their connection must not shut others out: 60 sockets leave 12
--- a/crates/node/tests/node_signals.rs
+++ b/crates/node/tests/node_signals.rs
@@ -21,7 +21,7 @@
         write_chunk(&mut stream, std::str::from_utf8(part).unwrap());
     }
     wait_until("the draining server receives no requests", || {
-        (0..8).for_each(|n| assert_eq!(test_node.send_request("pay", &n.to_string()).status(), 200));
+        (0..8).for_each(|_| assert_eq!(test_node.send_request("pay", &new_id()).status(), 200));
         !test_node.received_requests().iter().any(|(server, _)| *server == 0)
     });
     // When a watch ends, it is opened again from the last revision.
@@ -95,9 +95,7 @@
         write_chunk(&mut stream, &format!("{list}\n"));
         wait_until("only the listed server is used", || {
             test_node.received_requests();
-            (0..8).for_each(|n| {
-                assert_eq!(test_node.send_request("pay", &format!("{round}{n}")).status(), 200)
-            });
+            (0..8).for_each(|_| assert_eq!(test_node.send_request("pay", &new_id()).status(), 200));
             test_node.received_requests().iter().all(|(server, _)| *server == round)
         });
     }
--- a/crates/node/tests/node_spoilt.rs
+++ b/crates/node/tests/node_spoilt.rs
@@ -31,7 +31,10 @@
         assert!(![200, 429, 503].contains(&status), "{text}: {status}");
         assert_eq!(test_node.received_requests().len(), 1, "{text}");
         test_node.set_all_behaviors(ServerBehavior::Serve);
-        wait_until("requests are served again", || test_node.send_request("look", "2").body == b"2");
+        wait_until("requests are served again", || {
+            let id = new_id();
+            test_node.send_request("look", &id).body == id.as_bytes()
+        });
     }
 }
 
--- a/crates/node/tests/request_deadlines.rs
+++ b/crates/node/tests/request_deadlines.rs
@@ -118,7 +118,7 @@
     let test_node = TestNode::new(1);
     let (_, mut stream) = test_node.next_watch();
     write_chunk(&mut stream, &(json!({"revision": 42, "complete": true, "members": []}).to_string() + "\n"));
-    wait_until("there are no servers", || test_node.send_request("look", "0").status() != 200);
+    wait_until("there are no servers", || test_node.send_request("look", &new_id()).status() != 200);
     test_node.received_requests();
     for class in ["look", "pay", "put"] {
         for remaining_ms in [60_000, 13, 1, 0] {
