--- a/crates/fleet/tests/address_reuse.rs
+++ b/crates/fleet/tests/address_reuse.rs
@@ -48,3 +48,33 @@
         }
     }
 }
+
+/// When the node that has gone is first suspected by another one.
+fn first_suspicion(sim: &Simulation) -> u64 {
+    let suspected =
+        |event: &MembershipEvent| matches!(event, MembershipEvent::Suspected(of) if **of == *name(GONE));
+    let suspicions = sim.events.iter().filter(|(_, node, event)| *node != GONE && suspected(event));
+    suspicions.map(|(at, ..)| *at).min().expect("the node is suspected")
+}
+
+// Guards against a late detection: a probe that reaches the new node at the old address is answered by nobody.
+#[test]
+fn node_at_the_address_of_one_that_has_gone_does_not_delay_its_detection() {
+    for seed in 1..=5 {
+        let [alone, replaced] = [false, true].map(|is_replaced| {
+            let mut sim = Simulation::new(NODES, seed, &GossipKeys::none());
+            sim.run_until(5_000);
+            sim.stopped.insert(GONE);
+            if is_replaced {
+                start_at_the_address_of_the_gone(&mut sim, 50_000);
+            }
+            sim.run_until(20_000);
+            first_suspicion(&sim)
+        });
+        let probe_interval = GossipSettings::default().probe_interval;
+        assert!(
+            replaced <= alone + probe_interval,
+            "seed {seed}: {replaced} ms, {alone} ms without the new node"
+        );
+    }
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -100,7 +100,7 @@
                 tracing::info!("{name} ({listener}) listens on {address}");
             }
         };
-        hosted::serve(config.clone(), None, stop, ready).await
+        Ok(hosted::serve(config.clone(), None, stop, ready).await?)
     }))
 }
 
--- a/crates/node/src/front/transaction_ids.rs
+++ b/crates/node/src/front/deduplication.rs
@@ -9,7 +9,7 @@
 //! The ids of ended requests are kept in two generations of a fixed size. When the current one is full, the previous
 //! one is forgotten and its memory reused, so that the memory neither grows nor depends on time.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
 use std::mem;
@@ -23,8 +23,8 @@
 /// Maximum number of entries allocated for one generation, on nodes with much memory.
 const MAX_ENTRIES: usize = 1 << 19;
 
-/// The ids of open requests, and of at least [`TransactionIds::capacity`] that ended last.
-pub(super) struct TransactionIds {
+/// The ids of open requests, and of at least [`DeduplicationCache::capacity`] that ended last.
+pub(super) struct DeduplicationCache {
     /// Has a random key, so that no client can choose two ids with the same hash.
     hasher: RandomState,
     open: RefCell<HashSet<u64>>,
@@ -39,22 +39,26 @@
     capacity: usize,
 }
 
-impl TransactionIds {
+impl DeduplicationCache {
     /// Creates the ids of a node with this much memory in bytes, without any id.
     pub(super) fn new(node_memory: usize) -> Self {
         let capacity = generation_capacity(node_memory);
         let generation = || HashSet::with_capacity(capacity);
         let ended = EndedIds { current: generation(), previous: generation(), capacity };
-        TransactionIds { hasher: RandomState::new(), open: RefCell::default(), ended: RefCell::new(ended) }
+        DeduplicationCache {
+            hasher: RandomState::new(),
+            open: RefCell::default(),
+            ended: RefCell::new(ended),
+        }
     }
 
-    /// Claims the id of a tenant's request; `None` if the id is in use.
-    pub(super) fn claim(&self, tenant: Uid, transaction_id: &str) -> Option<TransactionClaim<'_>> {
+    /// Inserts the id of a tenant's request; `None` if the id is in use.
+    pub(super) fn insert(&self, tenant: Uid, transaction_id: &str) -> Option<DeduplicationEntry<'_>> {
         let hash = self.hasher.hash_one((tenant, transaction_id));
         if self.ended.borrow().contains(hash) || !self.open.borrow_mut().insert(hash) {
             return None;
         }
-        Some(TransactionClaim { ids: self, hash, may_have_run: false })
+        Some(DeduplicationEntry { ids: self, hash, may_have_run: Cell::new(false) })
     }
 
     /// Number of ended requests whose ids are remembered at least.
@@ -86,24 +90,24 @@
     allocated / 8 * 7
 }
 
-/// The use of an id by an open request. When it is dropped, the id stays in use if the request may have run.
-pub(super) struct TransactionClaim<'a> {
-    ids: &'a TransactionIds,
+/// The entry of an open request. When it is dropped, the id stays in use if the request may have run.
+pub(super) struct DeduplicationEntry<'a> {
+    ids: &'a DeduplicationCache,
     hash: u64,
-    may_have_run: bool,
+    may_have_run: Cell<bool>,
 }
 
-impl TransactionClaim<'_> {
+impl DeduplicationEntry<'_> {
     /// Records whether a server may have run the request, or still run it.
-    pub(super) fn set_may_have_run(&mut self, may_have_run: bool) {
-        self.may_have_run = may_have_run;
+    pub(super) fn set_may_have_run(&self, may_have_run: bool) {
+        self.may_have_run.set(may_have_run);
     }
 }
 
-impl Drop for TransactionClaim<'_> {
+impl Drop for DeduplicationEntry<'_> {
     fn drop(&mut self) {
         self.ids.open.borrow_mut().remove(&self.hash);
-        if self.may_have_run {
+        if self.may_have_run.get() {
             self.ids.ended.borrow_mut().insert(self.hash);
         }
     }
--- a/crates/node/src/front/manager.rs
+++ b/crates/node/src/front/manager.rs
@@ -14,8 +14,8 @@
 use woodgap_tenancy::Uid;
 
 use super::connection::ClientConnection;
+use super::deduplication::DeduplicationCache;
 use super::linger::MAX_LINGERING_CONNECTIONS;
-use super::transaction_ids::TransactionIds;
 use super::PoolDirectory;
 use crate::sockets::SocketBudget;
 use crate::task::{LocalPermit, LocalSemaphore};
@@ -43,7 +43,7 @@
     /// Limits the connections that the node has closed for writing and the client has not closed yet.
     pub(super) lingering_budget: Rc<LocalSemaphore>,
     /// The clients' ids of requests that are open or were used lately.
-    pub(super) transaction_ids: TransactionIds,
+    pub(super) deduplication: DeduplicationCache,
     pub(super) next_request_id: Cell<u64>,
     pub(super) next_connection_id: Cell<u64>,
     /// The open connections by their ids.
@@ -78,7 +78,7 @@
             connection_budget: budgets.0,
             refusal_budget: budgets.1,
             lingering_budget: LocalSemaphore::new(MAX_LINGERING_CONNECTIONS),
-            transaction_ids: TransactionIds::new(memory),
+            deduplication: DeduplicationCache::new(memory),
             next_request_id: Cell::new(1),
             next_connection_id: Cell::new(0),
             connections: RefCell::default(),
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -19,6 +19,7 @@
 pub mod connection;
 mod connection_limits;
 pub mod content_length;
+mod deduplication;
 pub mod http1;
 #[cfg(feature = "hosted")]
 pub mod http3;
@@ -34,7 +35,6 @@
 pub mod socket;
 #[cfg(feature = "hosted")]
 pub mod tls;
-mod transaction_ids;
 
 use std::any::Any;
 use std::rc::Rc;
--- a/crates/node/src/front/request_body.rs
+++ b/crates/node/src/front/request_body.rs
@@ -21,7 +21,7 @@
 use crate::upstream::exchange::MAX_BODY_BYTES;
 
 /// The body of a request, and the capacity that is reserved for it.
-pub(super) struct ReceivedBody {
+pub(super) struct BufferedBody {
     pub(super) body: Bytes,
     pub(super) permit: RequestPermit,
 }
@@ -40,7 +40,7 @@
         deadline: Instant,
         pool: &Rc<PoolHandle>,
         conn: &Rc<ClientConnection>,
-    ) -> Result<Result<ReceivedBody, Rejection>, RequestError> {
+    ) -> Result<Result<BufferedBody, Rejection>, RequestError> {
         let declared = body.size_hint().exact();
         let permit = match self.reserve_body(pool, declared.unwrap_or(MAX_SHORT_BODY_BYTES)).await {
             Ok(permit) => permit,
@@ -72,7 +72,7 @@
         is_reserved: bool,
         pool: &Rc<PoolHandle>,
         mut permit: RequestPermit,
-    ) -> Result<Result<ReceivedBody, Rejection>, ReadBodyError<B::Error>> {
+    ) -> Result<Result<BufferedBody, Rejection>, ReadBodyError<B::Error>> {
         let mut body = pin!(body);
         let mut buffer = BodyBuffer::new(&body.size_hint(), MAX_BODY_BYTES);
         let mut unreserved_from = if is_reserved { usize::MAX } else { MAX_SHORT_BODY_BYTES as usize };
@@ -87,7 +87,7 @@
                 };
             }
         }
-        Ok(Ok(ReceivedBody { body: buffer.into_bytes(), permit }))
+        Ok(Ok(BufferedBody { body: buffer.into_bytes(), permit }))
     }
 
     /// Receives the rest of a request that is refused, without keeping it. Closing a connection over unread bytes
--- a/crates/node/src/front/request_handler.rs
+++ b/crates/node/src/front/request_handler.rs
@@ -109,8 +109,8 @@
         let chunked = conn.content_lengths.is_chunked_only(&parts);
         let head =
             RequestHead::parse(parts, min_body, chunked, &pool.settings, &pool.names, pool.org_is_tenant)?;
-        // Claimed before the body arrives, so that no other request takes the id of one that arrives slowly.
-        let Some(mut claim) = self.transaction_ids.claim(usage.uid, &head.transaction_id) else {
+        // Before the body arrives, so that no other request takes the id of one that arrives slowly.
+        let Some(entry) = self.deduplication.insert(usage.uid, &head.transaction_id) else {
             return Err((StatusCode::CONFLICT, "a request with this X-Txn is open, or may have run\n"));
         };
         let received = match self.receive_body(body, body_deadline, pool, conn).await? {
@@ -134,7 +134,6 @@
                 return Ok(self.rejection_response(rejection));
             }
         };
-        claim.set_may_have_run(true);
         let pending = PendingRequest::new(pool);
         let upstream_request = Rc::new(UpstreamRequest {
             method: head.method,
@@ -159,11 +158,18 @@
                 reply,
             };
             let sent = pool.tx.send(DriverMessage::Request(Box::new(arrival))).is_ok();
+            let entry = &entry;
+            entry.set_may_have_run(sent);
             async move {
                 if !sent {
                     return (FinalResponse::Refused(Some(OVERLOAD_RETRY_AFTER)), None);
                 }
-                response.await.unwrap_or((FinalResponse::DeadlineExceeded, None))
+                let reply = response.await.unwrap_or((FinalResponse::DeadlineExceeded, None));
+                if matches!(reply.0, FinalResponse::Refused(_)) {
+                    // Proves that the request had no effect, or that it may be repeated.
+                    entry.set_may_have_run(false);
+                }
+                reply
             }
         };
         #[cfg(feature = "hosted")]
@@ -189,7 +195,6 @@
                 served_response(headers, body)
             }
             FinalResponse::Refused(retry_after) => {
-                claim.set_may_have_run(false);
                 increment(&usage.refused);
                 self.refusal_response(StatusCode::SERVICE_UNAVAILABLE, REFUSED, retry_after)
             }
--- a/crates/node/src/hosted/mod.rs
+++ b/crates/node/src/hosted/mod.rs
@@ -17,9 +17,10 @@
 pub mod config;
 pub(crate) mod directory;
 pub(crate) mod ephemeral;
+mod error;
 mod listeners;
+mod node_handle;
 mod registration;
-mod running_node;
 mod serve;
 mod stop;
 mod tasks;
@@ -36,8 +37,9 @@
 
 use crate::upstream::trust::Authorities;
 use directory::{TenantStatus, TenantView};
-pub(crate) use running_node::runtime;
-pub use running_node::{spawn, RunningNode};
+pub use error::{ListenError, NodeError};
+pub(crate) use node_handle::runtime;
+pub use node_handle::{spawn, NodeHandle};
 pub use serve::serve;
 
 /// Limits and settings that all tenants of a node share.
--- a/crates/node/src/hosted/registration.rs
+++ b/crates/node/src/hosted/registration.rs
@@ -1,13 +1,11 @@
 //! The node's registration with the coordination service, and the log of its state.
 
-use std::error::Error;
-
 use tokio::sync::watch;
 use woodgap_zookeeper::register::{NodeRecord, Registration, RegistrationStatus};
 use woodgap_zookeeper::session::{SessionHandle, SessionStatus};
 
 use super::config::HostedConfig;
-use super::NodeAddresses;
+use super::{NodeAddresses, NodeError};
 use crate::control;
 
 /// Logs changes of the connection to the coordination service.
@@ -66,14 +64,15 @@
     config: &HostedConfig,
     session: Option<&SessionHandle>,
     addresses: &NodeAddresses,
-) -> Result<Option<Registration>, Box<dyn Error>> {
+) -> Result<Option<Registration>, NodeError> {
     let register = config.zookeeper.as_ref().and_then(|zookeeper| zookeeper.register.as_ref());
     let (Some(register), Some(session)) = (register, session) else { return Ok(None) };
-    let first = addresses.listeners.first().ok_or("no listener to register")?.1;
+    let first = addresses.listeners.first().ok_or(NodeError::NoListener)?.1;
     let node = NodeRecord {
         address: register.address.clone().unwrap_or_else(|| first.to_string()),
         protocols: vec!["http1".to_owned()],
         load: 0.0,
+        // Unix time, as its readers have no other clock in common with this process. Nothing is timed by it here.
         started_ms: control::now_ms(),
         instance: format!("{:016x}", fastrand::u64(..)),
     };
--- a/crates/node/src/hosted/serve.rs
+++ b/crates/node/src/hosted/serve.rs
@@ -1,8 +1,10 @@
 //! Starts the parts of a hosted node, and serves until it is asked to stop.
 
-use std::error::Error;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use woodgap_fleet::LifecyclePhase;
@@ -15,7 +17,7 @@
 use super::registration::{log_registration_changes, log_session_changes, register_node};
 use super::stop::wait_until_stop_allowed;
 use super::tasks::{reload_on_signal, run_commands};
-use super::{NodeAddresses, SharedLimits};
+use super::{NodeAddresses, NodeError, SharedLimits};
 use crate::admin;
 use crate::control::{self, Control};
 use crate::fleet::{Fleet, FleetMembership, Permits, ServerDrains};
@@ -41,14 +43,11 @@
 ///
 /// # Errors
 /// The configuration names a shared store but no coordination service.
-fn open_store(
-    config: &HostedConfig,
-    session: Option<&SessionHandle>,
-) -> Result<Box<dyn Store>, Box<dyn Error>> {
+fn open_store(config: &HostedConfig, session: Option<&SessionHandle>) -> Result<Box<dyn Store>, NodeError> {
     match (&config.store, session) {
         (StoreConfig::File(path), _) => Ok(Box::new(EmbeddedStore::file(path))),
         (StoreConfig::Shared(path), Some(session)) => Ok(Box::new(SharedStore::open(session, path))),
-        (StoreConfig::Shared(_), None) => Err("store.zookeeper needs [zookeeper]".into()),
+        (StoreConfig::Shared(_), None) => Err(NodeError::NoCoordinationService),
     }
 }
 
@@ -62,18 +61,22 @@
     store: Option<Box<dyn Store>>,
     stop: impl std::future::Future<Output = ()>,
     ready: impl FnOnce(NodeAddresses),
-) -> Result<(), Box<dyn Error>> {
-    let tokens =
-        config.admin.as_ref().map(|admin| admin::auth::Tokens::read(&admin.token_file)).transpose()?;
+) -> Result<(), NodeError> {
+    let tokens = config.admin.as_ref().map(|admin| admin::auth::Tokens::read(&admin.token_file)).transpose();
+    let tokens = tokens.map_err(|error| NodeError::File(error.to_string()))?;
     let session = match &config.zookeeper {
-        Some(zookeeper) => Some(SessionHandle::start(zookeeper.settings()?)?),
+        Some(zookeeper) => {
+            let settings = zookeeper.settings().map_err(NodeError::File)?;
+            Some(SessionHandle::start(settings).map_err(NodeError::CoordinationService)?)
+        }
         None => None,
     };
     let mut store = match store {
         Some(store) => store,
         None => open_store(&config, session.as_ref())?,
     };
-    let catalogue = store.load().map_err(|error| format!("{}: {error}", config.store))?;
+    let catalogue =
+        store.load().map_err(|source| NodeError::Store { store: config.store.to_string(), source })?;
     let admin_sockets = config.admin.as_ref().map_or(0, |admin| admin.connections + 8);
     let zookeeper_sockets = session.as_ref().map_or(0, |_| ZOOKEEPER_DESCRIPTORS);
     let fleet_sockets = usize::from(config.fleet.is_some());
@@ -88,19 +91,23 @@
     let mut open_listeners = Vec::new();
     for listen in &config.listen {
         let opened = open_listener_retrying(listen, config.memory / connections).await;
-        let opened = opened.map_err(|e| format!("listen '{}' at {}: {e}", listen.name, listen.address))?;
+        let opened = opened.map_err(|source| NodeError::Listen {
+            name: listen.name.clone(),
+            address: listen.address,
+            source,
+        })?;
         addresses.listeners.push((listen.name.clone(), opened.address));
         open_listeners.push(opened);
     }
-    let authorities = config.authorities.as_deref().map(Authorities::load).transpose()?.unwrap_or_default();
+    let authorities = config.authorities.as_deref().map(Authorities::load).transpose();
+    let authorities = authorities.map_err(NodeError::File)?.unwrap_or_default();
     let certificates: Vec<_> =
         open_listeners.iter().filter_map(|opened| opened.certificate.clone()).collect();
     let admin = match &config.admin {
         Some(admin) => {
-            let bound = std::net::TcpListener::bind(admin.listen);
-            let bound = bound.map_err(|e| format!("admin at {}: {e}", admin.listen))?;
-            bound.set_nonblocking(true)?;
-            addresses.admin = Some(bound.local_addr()?);
+            let (bound, address) = bind_admin(admin.listen)
+                .map_err(|source| NodeError::Admin { address: admin.listen, source })?;
+            addresses.admin = Some(address);
             Some(bound)
         }
         None => None,
@@ -121,7 +128,9 @@
         admission: config.admission.clone(),
     };
     let members = match &config.fleet {
-        Some(fleet) => Some(FleetMembership::start(fleet, &config.name, config.digest).await?),
+        Some(fleet) => {
+            Some(FleetMembership::start(fleet, &config.name, config.digest).await.map_err(NodeError::Fleet)?)
+        }
         None => None,
     };
     let register = config.zookeeper.as_ref().and_then(|zookeeper| zookeeper.register.as_ref());
@@ -135,7 +144,8 @@
         (Some((permits_config, servers)), Some(session), Some(members), Some(permits), Some(register)) => {
             let names =
                 (config.name.clone(), format!("{}-servers", permits_config.path), register.path.clone());
-            Some(ServerDrains::start(session, servers, names, members.clone(), permits.clone())?)
+            let started = ServerDrains::start(session, servers, names, members.clone(), permits.clone());
+            Some(started.map_err(NodeError::Fleet)?)
         }
         _ => None,
     };
@@ -158,7 +168,8 @@
     control::tenant_views(&catalogue).for_each(|view| tenants.update(view));
 
     let control = Control::new(catalogue, store, command_sender, fleet.clone());
-    let mut control = control::start(control, drained_uids, admin.zip(tokens), config.admin.clone())?;
+    let mut control = control::start(control, drained_uids, admin.zip(tokens), config.admin.clone())
+        .map_err(NodeError::System)?;
     let command_loop = spawn_local(run_commands(commands, tenants.clone()));
     tenants.wait_until_read(INITIAL_READ_TIMEOUT).await;
     // Drain orders apply before the first request: the stored ones at least, the current ones if the service
@@ -178,7 +189,7 @@
         }
     }
     // Installed before the node is ready, and without certificates too: an unhandled SIGHUP ends the process.
-    let hangup = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup()).map_err(NodeError::System)?;
     spawn_local(reload_on_signal(hangup, certificates, authorities, members.clone()));
     if let Some(permits) = &permits {
         spawn_local(permits.clone().run());
@@ -221,8 +232,16 @@
             }
         }
         () = report_load => {}
-        _ = command_loop => return Err("the control thread ended".into()),
-        why = control.ended() => return Err(format!("the control thread ended: {why}").into()),
+        _ = command_loop => return Err(NodeError::ControlEnded("it sends no more commands".to_owned())),
+        why = control.ended() => return Err(NodeError::ControlEnded(why)),
     }
     Ok(())
 }
+
+/// Opens the socket of the administration API, and returns its address.
+fn bind_admin(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -3,8 +3,8 @@
 
 mod discovery_calls;
 mod messages;
-mod reply_slot;
 mod requests;
+mod response_sender;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
--- a/crates/node/src/pool/driver/requests.rs
+++ b/crates/node/src/pool/driver/requests.rs
@@ -7,7 +7,7 @@
 use tokio_util::time::delay_queue;
 use woodgap_decisions::{Closed, Event, Micros, Outcome, Request, RequestId, ServerId};
 
-use super::reply_slot::ReplySlot;
+use super::response_sender::ResponseSender;
 use super::{Driver, DriverMessage, DueItem, FinalResponse, RequestArrival};
 use crate::meter::metered;
 use crate::task::AbortOnDrop;
@@ -28,7 +28,7 @@
 
 /// A request that has no response yet or has attempts in flight.
 pub(super) struct TrackedRequest {
-    pub(super) reply: Rc<ReplySlot>,
+    pub(super) reply: Rc<ResponseSender>,
     pub(super) payload: Rc<UpstreamRequest>,
     pub(super) deadline: Instant,
     /// Timer for [`DueItem::RequestOverdue`].
@@ -50,7 +50,7 @@
         let timeout = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let overdue_timer = self.due_queue.insert_at(DueItem::RequestOverdue(id), deadline + DEADLINE_GRACE);
         let request = TrackedRequest {
-            reply: ReplySlot::new(reply),
+            reply: ResponseSender::new(reply),
             payload,
             deadline,
             overdue_timer,
--- a/crates/node/src/pool/driver/reply_slot.rs
+++ b/crates/node/src/pool/driver/response_sender.rs
@@ -9,11 +9,11 @@
 
 /// Sender of a request's final response, used once. Attempts check whether the client is connected here just
 /// before they write, since [`DriverMessage::ClientDisconnected`] may still be in the driver's queue.
-pub(super) struct ReplySlot(RefCell<Option<oneshot::Sender<DriverReply>>>);
+pub(super) struct ResponseSender(RefCell<Option<oneshot::Sender<DriverReply>>>);
 
-impl ReplySlot {
+impl ResponseSender {
     pub(super) fn new(reply: oneshot::Sender<DriverReply>) -> Rc<Self> {
-        Rc::new(ReplySlot(RefCell::new(Some(reply))))
+        Rc::new(ResponseSender(RefCell::new(Some(reply))))
     }
 
     /// Whether the request has no response yet and its client is still connected.
--- a/crates/node/tests/closed_connections_hosted.rs
+++ b/crates/node/tests/closed_connections_hosted.rs
@@ -5,6 +5,8 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use woodgap::hosted::config::{AdmissionConfig, ClientKeySources, HostedConfig};
+use woodgap_admission::queue::AdmissionSettings;
 use woodgap_testkit::admin::tenant_spec;
 use woodgap_testkit::backend::{duplicate_effects, Backend, ServerBehavior};
 use woodgap_testkit::client::ClientRequest;
@@ -25,6 +27,13 @@
     ClientRequest::renew("acme", id).with_timeout(Duration::from_secs(10))
 }
 
+/// Admits two requests to the servers at a time, so that most of a client's requests wait at the node.
+fn admit_two_at_a_time(config: &mut HostedConfig) {
+    let settings =
+        AdmissionSettings { max_wait: 20_000_000, max_in_flight: 2, ..AdmissionSettings::default() };
+    config.admission = Some(AdmissionConfig { keys: ClientKeySources::parse(["query"]).unwrap(), settings });
+}
+
 /// Sends requests at once, closes the connection once some have reached the server, and returns when it did.
 async fn send_and_close(
     test_node: &ProtocolTestNode,
@@ -72,7 +81,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_of_a_closed_connection_are_not_sent_and_run_once_when_they_come_again() {
     for protocols in ProtocolPair::ALL {
-        let test_node = ProtocolTestNode::start(protocols).await.unwrap();
+        let test_node = ProtocolTestNode::start_with_config(protocols, admit_two_at_a_time).await.unwrap();
         let server = test_node.start_backend(SERVE_SLOWLY).await.unwrap();
         test_node.create_tenant("acme", &tenant_spec(20_000), &[&server]).await.unwrap();
         let held =
--- a/crates/node/tests/transaction_ids_hosted.rs
+++ b/crates/node/tests/transaction_ids_hosted.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use woodgap::hosted::config::{AdmissionConfig, ClientKeySources, HostedConfig};
+use woodgap_admission::queue::AdmissionSettings;
 use woodgap_testkit::admin::tenant_spec;
 use woodgap_testkit::backend::{duplicate_effects, ServerBehavior};
 use woodgap_testkit::client::ClientRequest;
@@ -23,6 +25,12 @@
     [ClientRequest::renew(tenant, id), ClientRequest::lookup(tenant, id)].map(patient)
 }
 
+/// Number of requests that the node holds for the tenant.
+async fn held(test_node: &ProtocolTestNode) -> u64 {
+    let status = test_node.node.admin.get("tenants/acme/status").await.unwrap();
+    status.body["held"].as_u64().unwrap()
+}
+
 /// Runs a test for every pair of protocols.
 async fn for_each_pair<F: std::future::Future<Output = ()>>(test: impl Fn(ProtocolTestNode) -> F) {
     for protocols in ProtocolPair::ALL {
@@ -91,11 +99,7 @@
             wait_until("the request is at the server", || async { server.requests() == sent as u64 + 1 })
                 .await;
             open.abort();
-            let held = || async {
-                let status = test_node.node.admin.get("tenants/acme/status").await.unwrap();
-                status.body["held"].as_u64()
-            };
-            wait_until("the node has seen the disconnect", || async { held().await == Some(0) }).await;
+            wait_until("the node has seen the disconnect", || async { held(&test_node).await == 0 }).await;
             for copy in requests("acme", &id) {
                 assert_eq!(listener.send_request(&copy).await.unwrap().status, 409, "{id}");
             }
@@ -116,11 +120,7 @@
         let [slow, copy] = requests("acme", "slow");
         let mut client = listener.connect().await.unwrap();
         let partial = client.start_request(&slow).await.unwrap();
-        let held = || async {
-            let status = test_node.node.admin.get("tenants/acme/status").await.unwrap();
-            status.body["held"].as_u64()
-        };
-        wait_until("the request has begun to arrive", || async { held().await == Some(1) }).await;
+        wait_until("the request has begun to arrive", || async { held(&test_node).await == 1 }).await;
         assert_eq!(listener.send_request(&copy).await.unwrap().status, 409);
         assert_eq!(partial.finish().await.unwrap().status, 200);
         let [given_up, whole] = requests("acme", "given-up").map(|request| ClientRequest {
@@ -139,3 +139,36 @@
     })
     .await;
 }
+
+/// Admits one request to the servers at a time; others wait in the admission queue.
+fn admit_one_at_a_time(config: &mut HostedConfig) {
+    let settings =
+        AdmissionSettings { max_wait: DEADLINE_MS * 1_000, max_in_flight: 1, ..AdmissionSettings::default() };
+    config.admission = Some(AdmissionConfig { keys: ClientKeySources::parse(["query"]).unwrap(), settings });
+}
+
+// Guards against requests that are owed an answer: the id of a client that left the admission queue was kept, although
+// its request had never been sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn id_of_a_request_that_left_the_admission_queue_may_come_again() {
+    for protocols in ProtocolPair::ALL {
+        let test_node = ProtocolTestNode::start_with_config(protocols, admit_one_at_a_time).await.unwrap();
+        let listener = test_node.client_listener();
+        let server = test_node.start_backend(ServerBehavior::HoldRequests).await.unwrap();
+        test_node.create_tenant("acme", &tenant_spec(DEADLINE_MS), &[&server]).await.unwrap();
+        let send = |id: &str| {
+            let (listener, request) = (listener.clone(), patient(ClientRequest::renew("acme", id)));
+            tokio::spawn(async move { listener.send_request(&request).await })
+        };
+        let first = send("first");
+        wait_until("the first request is at the server", || async { server.requests() == 1 }).await;
+        let waiting = send("waiting");
+        wait_until("the second request waits", || async { held(&test_node).await == 2 }).await;
+        waiting.abort();
+        wait_until("the second request has left", || async { held(&test_node).await == 1 }).await;
+        server.set_behavior(SERVE_AT_ONCE);
+        assert_eq!(first.await.unwrap().unwrap().status, 200);
+        assert_eq!(send("waiting").await.unwrap().unwrap().status, 200, "{protocols:?}");
+        assert_eq!((server.requests(), duplicate_effects([&server])), (2, 0));
+    }
+}
--- a/crates/testkit/src/hosted.rs
+++ b/crates/testkit/src/hosted.rs
@@ -7,7 +7,7 @@
 
 use tempfile::TempDir;
 use woodgap::hosted::config::{AdminConfig, HostedConfig, ListenerConfig, Protocols, StoreConfig};
-use woodgap::hosted::{spawn, RunningNode};
+use woodgap::hosted::{spawn, NodeHandle};
 use woodgap::store::Store;
 
 use crate::admin::Admin;
@@ -24,7 +24,7 @@
     /// An administration client with the operator's token.
     pub admin: Admin,
     /// The running node; `None` once it is stopped.
-    pub node: Option<RunningNode>,
+    pub node: Option<NodeHandle>,
     /// The folder of the store and the tokens.
     pub folder: TempDir,
     config: HostedConfig,
@@ -112,7 +112,7 @@
         };
         change(&mut config);
         let store = store(&config);
-        let node = spawn(config.clone(), store)?;
+        let node = spawn(config.clone(), store).map_err(|error| error.to_string())?;
         let admin = node.addresses.admin.ok_or("no administration API")?;
         let addr = node.addresses.listeners.first().ok_or("no listener")?.1;
         let admin = Admin { addr: admin, secret: OPERATOR_SECRET.into() };
@@ -143,7 +143,7 @@
     /// # Errors
     /// If the node did not end cleanly.
     pub fn stop(&mut self) -> Result<(), String> {
-        self.node.take().map_or(Ok(()), RunningNode::stop)
+        self.node.take().map_or(Ok(()), NodeHandle::stop).map_err(|error| error.to_string())
     }
 
     /// Restarts the node with the same configuration and store.
@@ -152,7 +152,7 @@
     /// If the node does not stop or start.
     pub fn restart(&mut self) -> Result<(), String> {
         self.stop()?;
-        let node = spawn(self.config.clone(), None)?;
+        let node = spawn(self.config.clone(), None).map_err(|error| error.to_string())?;
         self.admin.addr = node.addresses.admin.ok_or("no administration API")?;
         self.addr = node.addresses.listeners.first().ok_or("no listener")?.1;
         self.node = Some(node);
