--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -9,6 +9,7 @@
 mod body;
 mod config;
 mod head;
+mod memory;
 mod requests;
 
 use std::rc::Rc;
@@ -26,7 +27,7 @@
 
 use super::connection::{ClientConnection, ClientIdentity, ImmediateClose, REQUEST_READ_TIMEOUT};
 use super::connection_limits::{HANDOVER_TIMEOUT, MAX_HANDOVER_WAITS};
-use super::manager::{ConnectionManager, MAX_HEAD_BYTES};
+use super::manager::{ConnectionManager, ConnectionPermits, MAX_HEAD_BYTES};
 use super::refusal::text_response;
 use crate::meter::{metered, TenantMeter};
 use crate::quic::{self, StopSignals};
@@ -34,6 +35,7 @@
 use body::{write_response, Http3Body};
 pub use config::quic_config;
 use head::{content_length, normalize_head};
+pub(super) use memory::Http3Memory;
 use requests::{OpenRequest, RequestTracker};
 
 /// Maximum number of open requests on one connection.
@@ -66,11 +68,12 @@
         }
     }
 
-    /// Acquires a permit for a connection, which uses memory but no descriptor; waits while another one is evicted.
-    async fn acquire_http3_permit(&self) -> Option<LocalPermit> {
+    /// Acquires the permits of a connection, which uses memory but no descriptor; waits while another one is evicted.
+    async fn acquire_http3_permits(&self) -> Option<ConnectionPermits> {
         for _ in 0..MAX_HANDOVER_WAITS {
-            if let Some(permit) = self.connection_budget.try_acquire() {
-                return Some(permit);
+            let memory = self.http3_memory.acquire_connection();
+            if let Some(permits) = self.connection_budget.try_acquire().zip(memory) {
+                return Some((permits.0, Some(permits.1)));
             }
             if !self.evict_connection()
                 && !self.connections.borrow().values().any(|conn| conn.closes_immediately())
@@ -84,16 +87,17 @@
 
     /// Performs the handshake and serves a connection until it ends.
     async fn serve_http3(self: Rc<Self>, incoming: Incoming, handshake: LocalPermit, listener: Rc<str>) {
-        let Some(permit) = self.acquire_http3_permit().await else { return incoming.refuse() };
+        let Some(permits) = self.acquire_http3_permits().await else { return incoming.refuse() };
         let client = ClientIdentity::from_address(incoming.remote_address());
         let conn = ClientConnection::new(REQUEST_READ_TIMEOUT, client);
         conn.start_handshake();
-        let registered = self.register_connection(conn.clone(), (permit, None));
+        let registered = self.register_connection(conn.clone(), permits);
         let connected = tokio::select! {
             connected = perform_handshake(incoming) => connected,
             () = conn.wait_for_immediate_close() => None,
         };
-        let Some((connection, (adapted, stop_signals))) = connected else { return };
+        let Some((connection, (mut adapted, stop_signals))) = connected else { return };
+        adapted.admit_streams(self.http3_memory.stream_admission());
         drop(handshake);
         let certificates =
             connection.peer_identity().and_then(|any| any.downcast::<Vec<CertificateDer<'static>>>().ok());
--- a/crates/node/src/front/manager.rs
+++ b/crates/node/src/front/manager.rs
@@ -42,6 +42,9 @@
     pub(super) refusal_budget: Rc<LocalSemaphore>,
     /// Limits the connections that the node has closed for writing and the client has not closed yet.
     pub(super) lingering_budget: Rc<LocalSemaphore>,
+    /// Memory of HTTP/3 connections and streams.
+    #[cfg(feature = "hosted")]
+    pub(super) http3_memory: super::http3::Http3Memory,
     /// The clients' ids of requests that are open or were used lately.
     pub(super) deduplication: DeduplicationCache,
     pub(super) next_request_id: Cell<u64>,
@@ -78,6 +81,8 @@
             connection_budget: budgets.0,
             refusal_budget: budgets.1,
             lingering_budget: LocalSemaphore::new(MAX_LINGERING_CONNECTIONS),
+            #[cfg(feature = "hosted")]
+            http3_memory: super::http3::Http3Memory::new(memory),
             deduplication: DeduplicationCache::new(memory),
             next_request_id: Cell::new(1),
             next_connection_id: Cell::new(0),
@@ -118,7 +123,7 @@
 }
 
 /// The permits of a connection: one of a budget of connections, and one for its socket if it uses a descriptor of
-/// the node's socket budget.
+/// the node's socket budget, or for its memory over HTTP/3.
 pub(super) type ConnectionPermits = (LocalPermit, Option<LocalPermit>);
 
 /// A connection that its manager knows. To be dropped after its socket is closed, as others then use its permits.
--- a/crates/node/src/quic.rs
+++ b/crates/node/src/quic.rs
@@ -10,6 +10,7 @@
 mod stop_signals;
 mod streams;
 
+use std::any::Any;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -25,6 +26,12 @@
 
 type Boxed<T> = Pin<Box<dyn Future<Output = T> + std::marker::Send>>;
 
+/// What a stream that the client opened holds for as long as it is open.
+pub type StreamPermit = Box<dyn Any>;
+
+/// Decides whether a stream that the client opens is admitted.
+type StreamAdmission = Box<dyn FnMut() -> Option<StreamPermit>>;
+
 /// Converts a stream id of `quinn` to one of `h3`.
 fn stream_id(id: quinn::StreamId) -> StreamId {
     // Every QUIC stream id is a valid HTTP/3 stream id: both are below 2^62.
@@ -54,6 +61,8 @@
     accepting: Option<Boxed<Result<(quinn::SendStream, quinn::RecvStream), ConnectionError>>>,
     accepting_uni: Option<Boxed<Result<quinn::RecvStream, ConnectionError>>>,
     open: OpenStreams,
+    /// Decides on the streams that the client opens; all are admitted without it.
+    admission: Option<StreamAdmission>,
 }
 
 /// Opens streams on a connection.
@@ -88,10 +97,25 @@
                 accepting: None,
                 accepting_uni: None,
                 open,
+                admission: None,
             },
             stop_signals,
         )
     }
+
+    /// Has `admission` decide on the streams that the client opens. The others are rejected with
+    /// `H3_REQUEST_REJECTED`, which says that their requests were not processed (RFC 9114, section 4.1.1).
+    pub fn admit_streams(&mut self, admission: impl FnMut() -> Option<StreamPermit> + 'static) {
+        self.admission = Some(Box::new(admission));
+    }
+}
+
+/// Rejects the request on a stream.
+fn reject(mut send: quinn::SendStream, mut receive: quinn::RecvStream) {
+    let code = VarInt::from_u64(Code::H3_REQUEST_REJECTED.value()).unwrap_or(VarInt::MAX);
+    // Both fail only if the stream has already ended.
+    let _ = receive.stop(code);
+    let _ = send.reset(code);
 }
 
 /// Polls the pending future, or starts one.
@@ -126,18 +150,30 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Result<BidiStream<B>, ConnectionErrorIncoming>> {
-        let conn = &self.conn;
-        let start = || {
-            let conn = conn.clone();
-            Box::pin(async move { conn.accept_bi().await }) as Boxed<_>
-        };
-        let (send, receive) =
-            ready!(poll_or_start(&mut self.accepting, cx, start)).map_err(connection_error)?;
-        let registration = self.stop_signals.register(&send);
-        Poll::Ready(Ok(BidiStream {
-            send: SendStream::with_registration(send, registration),
-            receive: RecvStream(receive),
-        }))
+        loop {
+            let conn = &self.conn;
+            let start = || {
+                let conn = conn.clone();
+                Box::pin(async move { conn.accept_bi().await }) as Boxed<_>
+            };
+            let (send, receive) =
+                ready!(poll_or_start(&mut self.accepting, cx, start)).map_err(connection_error)?;
+            let permit = match &mut self.admission {
+                None => None,
+                Some(admission) => match admission() {
+                    Some(permit) => Some(permit),
+                    None => {
+                        reject(send, receive);
+                        continue;
+                    }
+                },
+            };
+            let registration = self.stop_signals.register(&send);
+            return Poll::Ready(Ok(BidiStream {
+                send: SendStream::with_registration(send, registration, permit),
+                receive: RecvStream(receive),
+            }));
+        }
     }
 
     fn opener(&self) -> OpenStreams {
--- a/crates/node/src/quic/streams.rs
+++ b/crates/node/src/quic/streams.rs
@@ -8,7 +8,7 @@
 use quinn::{ReadError, VarInt, WriteError};
 
 use super::stop_signals::StopRegistration;
-use super::{stream_error, stream_id};
+use super::{stream_error, stream_id, StreamPermit};
 
 /// Size of the buffer for one read of a stream, in bytes.
 const READ_BYTES: usize = 4_096;
@@ -104,17 +104,22 @@
     /// Data that is being written.
     writing: Option<WriteBuf<B>>,
     _registration: Option<StopRegistration>,
+    _permit: Option<StreamPermit>,
 }
 
 impl<B> SendStream<B> {
     /// Creates the sending side of a stream that the node opened.
     pub(super) fn new(stream: quinn::SendStream) -> Self {
-        SendStream { stream, writing: None, _registration: None }
+        SendStream { stream, writing: None, _registration: None, _permit: None }
     }
 
     /// Creates the sending side of a stream whose client may stop it.
-    pub(super) fn with_registration(stream: quinn::SendStream, registration: StopRegistration) -> Self {
-        SendStream { stream, writing: None, _registration: Some(registration) }
+    pub(super) fn with_registration(
+        stream: quinn::SendStream,
+        registration: StopRegistration,
+        permit: Option<StreamPermit>,
+    ) -> Self {
+        SendStream { stream, writing: None, _registration: Some(registration), _permit: permit }
     }
 }
 
--- /dev/null
+++ b/crates/node/tests/http3_memory.rs
@@ -0,0 +1,71 @@
+//! Tests that the requests which HTTP/3 clients keep open take no more memory than the node has for them.
+
+use bytes::Bytes;
+use h3::error::{Code, StreamError};
+use std::time::Duration;
+use woodgap_testkit::admin::tenant_spec;
+use woodgap_testkit::backend::ServerBehavior;
+use woodgap_testkit::client::ClientRequest;
+use woodgap_testkit::http3::{self, Connection, RequestStream};
+use woodgap_testkit::protocol_pair::{ProtocolPair, ProtocolTestNode};
+
+/// Memory of the node. A tenth is for further streams than the first ones of connections, 32 KiB for each, and a fifth for
+/// connections, 160 KiB for each.
+const NODE_MEMORY: usize = 10 * MAX_FURTHER_STREAMS * 32 * 1024;
+const MAX_FURTHER_STREAMS: usize = 60;
+/// Connections of clients that open streams, and one of another client.
+const CONNECTIONS: usize = 4;
+/// Streams that each of the clients opens: as many as a connection may have.
+const STREAMS: usize = 64;
+
+/// Opens streams with requests that stop before their end.
+async fn open_stopped(connection: &Connection, name: &str) -> Vec<RequestStream> {
+    let mut streams = Vec::new();
+    for n in 0..STREAMS {
+        let (head, _) = http3::request_parts(&ClientRequest::renew("acme", format!("{name}{n}"))).unwrap();
+        let mut stream = connection.start_request(head).await.unwrap();
+        // Fails on a stream that has been rejected.
+        let _ = stream.send_data(Bytes::from_static(b"x")).await;
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Whether the node has rejected the request on a stream without processing it.
+async fn is_rejected(stream: &mut RequestStream) -> bool {
+    matches!(
+        stream.recv_response().await,
+        Err(StreamError::RemoteTerminate { code, .. }) if code == Code::H3_REQUEST_REJECTED
+    )
+}
+
+// Guards against a node over its memory limit: 60 clients with 64 requests each that wrote slowly took a node of 48 MB
+// to 81 MB, as a request took some 20 KB from the moment at which its stream was opened, refused or not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_beyond_the_memory_for_http3_are_rejected() {
+    let pair = ProtocolPair { client_http3: true, server_http3: false };
+    let test_node =
+        ProtocolTestNode::start_with_config(pair, |config| config.memory = NODE_MEMORY).await.unwrap();
+    let server = test_node.start_backend(ServerBehavior::Serve(Duration::ZERO)).await.unwrap();
+    test_node.create_tenant("acme", &tenant_spec(20_000), &[&server]).await.unwrap();
+    let certificates = std::slice::from_ref(&test_node.certificate.der);
+    let (mut connections, mut streams) = (Vec::new(), Vec::new());
+    for n in 0..CONNECTIONS - 1 {
+        let connection = Connection::open(test_node.node.addr, certificates).await.unwrap();
+        streams.extend(open_stopped(&connection, &format!("stopped{n}-")).await);
+        connections.push(connection);
+    }
+    // A client with one request at a time is served meanwhile.
+    let connection = Connection::open(test_node.node.addr, certificates).await.unwrap();
+    for n in 0..20 {
+        let response =
+            connection.send_request(&ClientRequest::renew("acme", format!("served{n}"))).await.unwrap();
+        assert_eq!(response.status, 200, "{n}");
+    }
+    let mut rejected = 0;
+    for stream in &mut streams {
+        rejected += usize::from(is_rejected(stream).await);
+    }
+    let admitted = streams.len() - rejected;
+    assert_eq!(admitted, CONNECTIONS - 1 + MAX_FURTHER_STREAMS);
+}
