Identify servers by their names in place of numbers that depend on the history

Cause: server_number gave each server a 32-bit hash of its name, and the hash with another seed if a server that was known at that moment had the first. Which number a name had depended on what else was known, and in which order. When the other server ended, the name got another number than the one under which its slot, its state in the decision module and its idle connections were kept: the drain was recorded for a number that nobody had.

Change: ServerId holds the name, and two ids are equal only if their names are. So all that is kept by id (slots, start times of removed servers, statistics, ejections, probes, attempts) belongs to one name, whatever the hashes are and in whichever order servers come and go. The hash is left for the Maglev table alone, where servers with the same hash are ordered by name: a table follows from the servers in it. Tables of ids without a collision stay as they were (table_matches_golden_values is unchanged).

Tests: server_numbers_do_not_collide tested the function that is gone. In its place ids_are_equal_only_if_their_names_are, and the history tests, which demand more: no list may make two names one. Tests that passed ids by value borrow them now.

Not tried: wider hashes, which would leave the fault to chance and to whoever chooses the names.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -10,17 +10,15 @@
 
 mod balancer_settings;
 mod events;
+mod server_id;
 
 pub use balancer_settings::BalancerSettings;
 pub use events::{Action, Closed, Event, Outcome, Request};
+pub use server_id::ServerId;
 
 /// A point in time or a duration, in microseconds.
 pub type Micros = u64;
 
-/// Id of a server, given by discovery. It is stable across restarts of the server's process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServerId(pub u32);
-
 /// Id of a request, opaque to the balancer. The host pads shorter ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub [u8; 36]);
--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -150,8 +150,11 @@
     }
 
     /// The servers that are ejected now, for status reports.
-    pub fn ejected_servers(&self) -> impl Iterator<Item = ServerId> + '_ {
-        self.servers.iter().filter(|server| server.ejected_until.is_some()).map(|server| server.listed.server)
+    pub fn ejected_servers(&self) -> impl Iterator<Item = &ServerId> + '_ {
+        self.servers
+            .iter()
+            .filter(|server| server.ejected_until.is_some())
+            .map(|server| &server.listed.server)
     }
 
     /// Handles one event and appends the resulting actions to `out`.
--- a/crates/decisions/src/brain/health.rs
+++ b/crates/decisions/src/brain/health.rs
@@ -187,7 +187,7 @@
                     {
                         (server.trial_in_flight, server.slow_start_budget) =
                             (true, server.slow_start_budget - 1.0);
-                        out.push(Action::Probe(server.listed.server));
+                        out.push(Action::Probe(server.listed.server.clone()));
                     }
                 }
                 None => server.adjust_slot_share(),
--- a/crates/decisions/src/brain/idle_connections.rs
+++ b/crates/decisions/src/brain/idle_connections.rs
@@ -43,7 +43,7 @@
         if server.in_flight == 0 && server.idle_since.is_some_and(|since| since + timeout <= self.now + ahead)
         {
             server.idle_since = None;
-            out.push(Action::CloseIdle(server.listed.server));
+            out.push(Action::CloseIdle(server.listed.server.clone()));
         }
     }
 }
--- a/crates/decisions/src/brain/outcome.rs
+++ b/crates/decisions/src/brain/outcome.rs
@@ -16,10 +16,10 @@
 impl Balancer {
     /// Handles the end of an attempt.
     pub(super) fn on_closed(&mut self, closed: Closed, out: &mut Vec<Action>) {
-        let Closed { id, server, outcome, .. } = closed;
+        let Closed { id, outcome, .. } = closed;
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = pending.attempts.get_mut(closed.attempt as usize) else { return };
-        if attempt.fate != AttemptFate::InFlight || attempt.listed.server != server {
+        if attempt.fate != AttemptFate::InFlight || attempt.listed.server != closed.server {
             return;
         }
         attempt.fate = attempt_fate(outcome, self.settings.full_may_have_run);
--- a/crates/decisions/src/brain/requests.rs
+++ b/crates/decisions/src/brain/requests.rs
@@ -127,7 +127,7 @@
         self.in_flight += 1;
         self.traffic.sent_count += 1.0;
         let listed = server.listed.clone();
-        out.push(Action::Send { id, server: listed.server, timeout });
+        out.push(Action::Send { id, server: listed.server.clone(), timeout });
         let pending = self.requests.get_mut(&id).expect("the request is pending");
         pending.attempts.push(Attempt { listed, sent_at: now, fate: AttemptFate::InFlight });
     }
--- a/crates/decisions/src/brain/table.rs
+++ b/crates/decisions/src/brain/table.rs
@@ -34,13 +34,13 @@
     let mut claims: Vec<(u32, u32, u32, f64, f64)> = (0u32..)
         .zip(servers)
         .map(|(i, (server, weight))| {
-            let id = server.0.to_le_bytes();
-            let offset = xxh3_64_with_seed(&id, OFFSET_SEED) % m;
-            let skip = xxh3_64_with_seed(&id, SKIP_SEED) % (m - 1) + 1;
+            let hash = server.table_hash().to_le_bytes();
+            let offset = xxh3_64_with_seed(&hash, OFFSET_SEED) % m;
+            let skip = xxh3_64_with_seed(&hash, SKIP_SEED) % (m - 1) + 1;
             (i, offset as u32, skip as u32, 0.0, (weight / step).max(MIN_TURN_CREDIT))
         })
         .collect();
-    claims.sort_by_key(|claim| servers[claim.0 as usize].0);
+    claims.sort_by_key(|claim| &servers[claim.0 as usize].0);
     let mut table = vec![u32::MAX; TABLE_SLOTS];
     let mut free = TABLE_SLOTS;
     loop {
@@ -75,10 +75,11 @@
             return;
         }
         self.servers.retain(|s| s.in_service || s.in_flight > 0);
-        self.server_indices = self.servers.iter().enumerate().map(|(i, s)| (s.listed.server, i)).collect();
+        self.server_indices =
+            self.servers.iter().enumerate().map(|(i, s)| (s.listed.server.clone(), i)).collect();
         let ready_servers = self.servers.iter().enumerate().filter(|(_, s)| s.in_service);
         let (positions, pairs): (Vec<u32>, Vec<_>) =
-            ready_servers.map(|(i, s)| (i as u32, (s.listed.server, s.listed.weight))).unzip();
+            ready_servers.map(|(i, s)| (i as u32, (s.listed.server.clone(), s.listed.weight))).unzip();
         self.total_weight = pairs.iter().map(|p| p.1).sum();
         self.table = build_table(&pairs).into_iter().map(|owner| positions[owner as usize]).collect();
     }
@@ -122,10 +123,10 @@
         }
         if kind != SyncKind::Delta {
             // A server absent from a complete list has been removed.
-            let mut listed_ids: Vec<ServerId> = entries.iter().map(|m| m.server).collect();
+            let mut listed_ids: Vec<&ServerId> = entries.iter().map(|m| &m.server).collect();
             listed_ids.sort_unstable();
             for server in &mut self.servers {
-                if server.in_service && listed_ids.binary_search(&server.listed.server).is_err() {
+                if server.in_service && listed_ids.binary_search(&&server.listed.server).is_err() {
                     server.in_service = false;
                     self.table_is_stale = true;
                 }
@@ -165,7 +166,7 @@
         let Some(&i) = self.server_indices.get(&listed.server) else {
             if in_service {
                 self.table_is_stale = true;
-                self.server_indices.insert(listed.server, self.servers.len());
+                self.server_indices.insert(listed.server.clone(), self.servers.len());
                 self.servers.push(Server::new(listed, kind, slow_start_budget));
             }
             return;
--- a/crates/node/src/pool/admission.rs
+++ b/crates/node/src/pool/admission.rs
@@ -353,7 +353,7 @@
                 FinalResponse::DeadlineExceeded => RequestOutcome::TimedOut,
                 FinalResponse::Failed => RequestOutcome::Other,
             };
-            guard.finish(outcome, server.map(|server| u64::from(server.0)));
+            guard.finish(outcome, server.map(|server| u64::from(server.table_hash())));
             let FinalResponse::Refused(wait) = &response else {
                 return AdmissionOutcome::Responded(response);
             };
--- a/crates/node/src/pool/driver.rs
+++ b/crates/node/src/pool/driver.rs
@@ -186,12 +186,12 @@
     fn server_statuses(&self) -> Vec<ServerStatus> {
         let mut statuses = self.servers.server_statuses();
         let attempts = self.requests.values().flat_map(|request| request.attempts.iter().flatten());
-        let mut in_flight: HashMap<ServerId, usize> = HashMap::new();
-        attempts.for_each(|attempt| *in_flight.entry(attempt.server).or_default() += 1);
-        let ejected: HashSet<ServerId> = self.balancer.ejected_servers().collect();
+        let mut in_flight: HashMap<&ServerId, usize> = HashMap::new();
+        attempts.for_each(|attempt| *in_flight.entry(&attempt.server).or_default() += 1);
+        let ejected: HashSet<&ServerId> = self.balancer.ejected_servers().collect();
         for (server, status) in &mut statuses {
-            status.attempts_in_flight = in_flight.get(server).copied().unwrap_or(0);
-            status.ejected = ejected.contains(server);
+            status.attempts_in_flight = in_flight.get(&*server).copied().unwrap_or(0);
+            status.ejected = ejected.contains(&*server);
         }
         statuses.into_iter().map(|(_, status)| status).collect()
     }
@@ -221,14 +221,14 @@
                 let (servers, tx) = (self.servers.clone(), self.tx.upgrade());
                 spawn_local(async move {
                     let sent = Instant::now();
-                    let result = servers.probe(server).await;
+                    let result = servers.probe(&server).await;
                     if let Some(tx) = tx {
                         let _ =
                             tx.send(DriverMessage::ProbeFinished { server, result, elapsed: sent.elapsed() });
                     }
                 });
             }
-            Action::CloseIdle(server) => self.servers.close_idle_connections(server),
+            Action::CloseIdle(server) => self.servers.close_idle_connections(&server),
             Action::SetTimer { delay, timer } => {
                 self.due_queue.insert(DueItem::Timer(timer), Duration::from_micros(delay));
             }
--- a/crates/node/src/pool/driver/requests.rs
+++ b/crates/node/src/pool/driver/requests.rs
@@ -69,7 +69,7 @@
             if !matches!(response, FinalResponse::DeadlineExceeded) {
                 self.due_queue.remove(&request.overdue_timer);
             }
-            let _ = reply.send((response, request.last_server));
+            let _ = reply.send((response, request.last_server.clone()));
         }
         self.remove_if_finished(id);
     }
@@ -84,7 +84,7 @@
         let transaction = request.payload.headers.get("x-txn").and_then(|id| id.to_str().ok()).unwrap_or("-");
         let attempts = request.attempts.len();
         // A request that was never sent to a server is safe to retry, so it is refused.
-        let response = match request.last_server {
+        let response = match &request.last_server {
             None => {
                 tracing::info!(
                     "request {transaction:.64} was not answered by its deadline: refused, since it was never \
@@ -93,7 +93,6 @@
                 FinalResponse::Refused(None)
             }
             Some(server) => {
-                let server = self.servers.server_name(server);
                 tracing::info!(
                     "request {transaction:.64} was not answered by its deadline: failed, the last of \
                     {attempts} attempts was sent to {server}"
@@ -101,7 +100,7 @@
                 FinalResponse::DeadlineExceeded
             }
         };
-        let _ = reply.send((response, request.last_server));
+        let _ = reply.send((response, request.last_server.clone()));
         self.events.push_back(Event::Lapsed(request_id(id)));
         self.remove_if_finished(id); // A request without attempts in flight has no later event that removes it.
     }
@@ -156,7 +155,7 @@
         let Some(ended) = request.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let AttemptResult { outcome, load, response } = result;
         if let Some((headers, body)) = response {
-            request.last_server = Some(ended.server);
+            request.last_server = Some(ended.server.clone());
             self.respond(number, FinalResponse::Served(headers, body));
         }
         self.check_client_connected(number);
@@ -191,15 +190,15 @@
             timeout => request.deadline.min(now + Duration::from_micros(timeout)),
         };
         let (servers, payload, tx) = (self.servers.clone(), request.payload.clone(), self.tx.upgrade());
-        let (attempt, reply) = (attempt as u32, request.reply.clone());
+        let (attempt, reply, attempt_server) = (attempt as u32, request.reply.clone(), server.clone());
         let is_awaited: IsAwaited = Rc::new(move || reply.is_awaited());
         let task = AbortOnDrop::spawn(metered(self.meter.clone(), async move {
-            let result = servers.run_attempt(server, &payload, attempt_deadline, &is_awaited).await;
+            let result = servers.run_attempt(&attempt_server, &payload, attempt_deadline, &is_awaited).await;
             if let Some(tx) = tx {
                 let _ = tx.send(DriverMessage::AttemptClosed { id, attempt, result });
             }
         }));
-        request.attempts.push(Some(InFlightAttempt { server, sent: now, _task: task }));
+        request.attempts.push(Some(InFlightAttempt { server: server.clone(), sent: now, _task: task }));
         request.last_server = Some(server);
     }
 
@@ -208,9 +207,9 @@
         let Some(request) = self.requests.get_mut(&number) else { return };
         let Some(ended) = request.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let elapsed = ended.sent.elapsed().as_micros() as Micros;
-        let (server, done) = (ended.server, request.reply.is_finished());
+        let (server, done) = (ended.server.clone(), request.reply.is_finished());
         drop(ended);
-        self.servers.close_idle_connections(server); // The server's machine may be down, see `Servers::run_attempt`.
+        self.servers.close_idle_connections(&server); // The server's machine may be down, see `Servers::run_attempt`.
         let (id, outcome) = (request_id(number), Outcome::Cancelled);
         self.events.push_back(Event::Closed(Closed {
             id,
--- a/crates/node/src/pool/driver/tests.rs
+++ b/crates/node/src/pool/driver/tests.rs
@@ -68,10 +68,10 @@
 async fn an_overdue_request_is_refused_if_it_was_never_sent_and_fails_otherwise() {
     let (tx, _rx) = mpsc::unbounded_channel();
     let mut driver = driver(&tx);
-    for (id, sent_to) in [(1, None), (2, Some(ServerId(7)))] {
+    for (id, sent_to) in [(1, None), (2, Some(ServerId::from_number(7)))] {
         let (arrival, mut reply_receiver) = arrival(id);
         driver.accept_request(arrival);
-        driver.requests.get_mut(&id).unwrap().last_server = sent_to;
+        driver.requests.get_mut(&id).unwrap().last_server = sent_to.clone();
         driver.handle_due(DueItem::RequestOverdue(id));
         let (response, _) = reply_receiver.try_recv().unwrap();
         match sent_to {
--- a/crates/node/src/sources/discovery.rs
+++ b/crates/node/src/sources/discovery.rs
@@ -108,19 +108,5 @@
     value.as_u64().or_else(real)
 }
 
-/// Returns the balancer's number for a server id. The number is a hash of the id alone, since nodes that
-/// number servers differently build different routing tables. Only if another server has that number, the id
-/// is hashed again with the next seed. `taken` holds the ids of the known servers by their numbers.
-pub fn server_number(id: &str, taken: &HashMap<u32, String>) -> u32 {
-    let mut seed = 0;
-    loop {
-        let number = xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), seed) as u32;
-        match taken.get(&number) {
-            Some(other) if other != id => seed += 1,
-            _ => return number,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -42,8 +42,8 @@
 
 impl Servers {
     /// How the server is authenticated if it speaks HTTP/3; `None` if it speaks HTTP/1.1.
-    fn http3_trust(&self, server: ServerId) -> Option<Trust> {
-        match &self.slots.borrow().get(&server)?.transport {
+    fn http3_trust(&self, server: &ServerId) -> Option<Trust> {
+        match &self.slots.borrow().get(server)?.transport {
             Transport::Http1 => None,
             Transport::Http3 { trust } => Some(trust.clone()),
         }
@@ -53,7 +53,7 @@
     #[cfg(feature = "hosted")]
     async fn run_http3_attempt(
         &self,
-        server: ServerId,
+        server: &ServerId,
         request: &UpstreamRequest,
         deadline: Instant,
         is_awaited: &IsAwaited,
@@ -62,7 +62,7 @@
         // A connection that has ended or accepts no new requests is replaced: nothing was sent on it.
         for _ in 0..http3::MAX_DIALS_PER_ATTEMPT {
             let Some((addr, epoch)) = self.eligible_addr(server) else { break };
-            let shared = self.slots.borrow().get(&server).map(|slot| slot.http3_connection.clone());
+            let shared = self.slots.borrow().get(server).map(|slot| slot.http3_connection.clone());
             let Some(shared) = shared else { break };
             let dial_deadline = deadline.min(Instant::now() + self.settings.dial_timeout);
             let authorities = self.authorities.borrow().clone();
@@ -114,7 +114,7 @@
     #[cfg(not(feature = "hosted"))]
     async fn run_http3_attempt(
         &self,
-        _: ServerId,
+        _: &ServerId,
         _: &UpstreamRequest,
         _: Instant,
         _: &IsAwaited,
@@ -129,7 +129,7 @@
     /// that writes its first byte.
     pub async fn run_attempt(
         self: &Rc<Self>,
-        server: ServerId,
+        server: &ServerId,
         request: &UpstreamRequest,
         deadline: Instant,
         is_awaited: &IsAwaited,
@@ -197,7 +197,7 @@
     /// not be sent new requests, so that the request is tried at another server or responded to at once.
     async fn get_connection(
         &self,
-        server: ServerId,
+        server: &ServerId,
         addr: SocketAddr,
         epoch: u64,
         deadline: Instant,
@@ -218,21 +218,22 @@
     /// Permission to write a request to a server, as long as its epoch is that in which the connection was opened.
     fn write_permission(
         self: &Rc<Self>,
-        server: ServerId,
+        server: &ServerId,
         epoch: u64,
         deadline: Instant,
         is_awaited: &IsAwaited,
     ) -> WritePermission {
-        let (servers, may_continue, is_awaited) = (self.clone(), is_awaited.clone(), is_awaited.clone());
+        let (servers, server) = (self.clone(), server.clone());
+        let (may_continue, is_awaited) = (is_awaited.clone(), is_awaited.clone());
         let may_start = Box::new(move || {
-            let same_epoch = servers.eligible_addr(server).is_some_and(|(_, current)| current == epoch);
+            let same_epoch = servers.eligible_addr(&server).is_some_and(|(_, current)| current == epoch);
             same_epoch && Instant::now() < deadline && is_awaited()
         });
         WritePermission { may_start, may_continue }
     }
 
     /// Sends a health probe to a server.
-    pub async fn probe(self: &Rc<Self>, server: ServerId) -> AttemptResult {
+    pub async fn probe(self: &Rc<Self>, server: &ServerId) -> AttemptResult {
         let request = UpstreamRequest {
             method: Method::GET,
             target: Uri::from_static("/-/healthy"),
--- a/crates/node/src/upstream/attempt/tests.rs
+++ b/crates/node/src/upstream/attempt/tests.rs
@@ -30,17 +30,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let servers = servers_with(8);
         let list = server_list(listener.local_addr().unwrap(), ServerState::InService, true);
-        let id = servers.apply_list(&list).1[0].server;
+        let id = servers.apply_list(&list).1[0].server.clone();
         ManualServer { listener, servers, id }
     }
 
     /// Stores an idle connection that may be reused, and returns the server's end of it.
     async fn idle_connection(&self) -> TcpStream {
-        let (addr, epoch) = self.servers.eligible_addr(self.id).unwrap();
+        let (addr, epoch) = self.servers.eligible_addr(&self.id).unwrap();
         let mut connection = self.servers.dial(addr, epoch).await.unwrap();
         connection.ready().await.unwrap();
         let server_stream = self.listener.accept().unwrap().0;
-        self.servers.store_idle_connection(self.id, connection);
+        self.servers.store_idle_connection(&self.id, connection);
         tokio::time::sleep(REUSE_DELAY * 2).await;
         server_stream
     }
@@ -84,7 +84,7 @@
         let server_stream = test_server.idle_connection().await;
         let ((connected, is_awaited), request) = (client(), post_request());
         let mut attempt =
-            Box::pin(test_server.servers.run_attempt(test_server.id, &request, far_deadline(), &is_awaited));
+            Box::pin(test_server.servers.run_attempt(&test_server.id, &request, far_deadline(), &is_awaited));
         poll_once(&mut attempt).await;
         connected.set(false);
         assert_eq!(attempt.await.outcome, Outcome::Moot);
@@ -99,14 +99,14 @@
         let test_server = ManualServer::new();
         let ((connected, is_awaited), request) = (client(), post_request());
         let mut attempt =
-            Box::pin(test_server.servers.run_attempt(test_server.id, &request, far_deadline(), &is_awaited));
+            Box::pin(test_server.servers.run_attempt(&test_server.id, &request, far_deadline(), &is_awaited));
         poll_once(&mut attempt).await;
         let server_stream = test_server.listener.accept().unwrap().0;
         connected.set(false);
         assert_eq!(attempt.await.outcome, Outcome::Moot);
         // Nothing was written on the connection, so it is kept for reuse.
         assert_eq!(test_server.servers.idle_connection_count(), 1);
-        test_server.servers.close_idle_connections(test_server.id);
+        test_server.servers.close_idle_connections(&test_server.id);
         assert_eq!(received_text(server_stream).await, "");
     };
     LocalSet::new().run_until(run).await;
@@ -121,7 +121,7 @@
         let server_stream = test_server.idle_connection().await;
         let (is_awaited, request) = (always_awaited(), post_request());
         let mut attempt =
-            Box::pin(test_server.servers.run_attempt(test_server.id, &request, far_deadline(), &is_awaited));
+            Box::pin(test_server.servers.run_attempt(&test_server.id, &request, far_deadline(), &is_awaited));
         poll_once(&mut attempt).await;
         test_server.terminate();
         assert_eq!(attempt.await.outcome, Outcome::ConnectFailed);
@@ -138,7 +138,7 @@
         let mut server_stream = test_server.idle_connection().await;
         let (is_awaited, request) = (always_awaited(), post_request());
         let mut attempt =
-            Box::pin(test_server.servers.run_attempt(test_server.id, &request, far_deadline(), &is_awaited));
+            Box::pin(test_server.servers.run_attempt(&test_server.id, &request, far_deadline(), &is_awaited));
         poll_once(&mut attempt).await;
         server_stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong").unwrap();
         let listener = test_server.listener.try_clone().unwrap();
@@ -167,7 +167,7 @@
             let server_stream = test_server.idle_connection().await;
             let (is_awaited, request) = (always_awaited(), post_request());
             let mut attempt = Box::pin(test_server.servers.run_attempt(
-                test_server.id,
+                &test_server.id,
                 &request,
                 far_deadline(),
                 &is_awaited,
@@ -196,7 +196,7 @@
         let before = since();
         let result = test_server
             .servers
-            .run_attempt(test_server.id, &post_request(), Instant::now(), &always_awaited())
+            .run_attempt(&test_server.id, &post_request(), Instant::now(), &always_awaited())
             .await;
         assert_eq!(result.outcome, Outcome::ConnectFailed);
         assert_eq!(since(), before);
@@ -226,9 +226,9 @@
             let (listener, _queued) = server_with_full_backlog().await;
             let servers = servers_with(8);
             let addr = listener.local_addr().unwrap();
-            let id = servers.apply_list(&server_list(addr, ServerState::InService, true)).1[0].server;
+            let id = servers.apply_list(&server_list(addr, ServerState::InService, true)).1[0].server.clone();
             let (is_awaited, request) = (always_awaited(), post_request());
-            let mut attempt = Box::pin(servers.run_attempt(id, &request, far_deadline(), &is_awaited));
+            let mut attempt = Box::pin(servers.run_attempt(&id, &request, far_deadline(), &is_awaited));
             poll_once(&mut attempt).await;
             // An unchanged list does not cancel the dial.
             servers.apply_list(&server_list(addr, ServerState::InService, true));
--- a/crates/node/src/upstream/eligible.rs
+++ b/crates/node/src/upstream/eligible.rs
@@ -16,7 +16,7 @@
     ///
     /// A request that waits for a connection to the server cannot be sent after that: see
     /// [`Servers::eligible_addr`].
-    pub(super) async fn wait_until_ineligible(&self, server: ServerId, epoch: u64) {
+    pub(super) async fn wait_until_ineligible(&self, server: &ServerId, epoch: u64) {
         loop {
             let mut list_applied = std::pin::pin!(self.list_applied.notified());
             list_applied.as_mut().enable();
@@ -32,8 +32,8 @@
 
     /// Time from which a draining server may not be sent new requests; `None` for a server that does not
     /// drain.
-    fn send_grace_end(&self, server: ServerId) -> Option<Instant> {
-        let draining_since = self.slots.borrow().get(&server)?.draining_since?;
+    fn send_grace_end(&self, server: &ServerId) -> Option<Instant> {
+        let draining_since = self.slots.borrow().get(server)?.draining_since?;
         Some(draining_since + self.send_grace())
     }
 }
--- a/crates/node/src/upstream/idle.rs
+++ b/crates/node/src/upstream/idle.rs
@@ -25,8 +25,8 @@
 
 impl Servers {
     /// Closes the idle connections to a server.
-    pub fn close_idle_connections(&self, server: ServerId) {
-        if let Some(slot) = self.slots.borrow_mut().get_mut(&server) {
+    pub fn close_idle_connections(&self, server: &ServerId) {
+        if let Some(slot) = self.slots.borrow_mut().get_mut(server) {
             slot.idle_connections.clear();
         }
     }
@@ -55,10 +55,10 @@
 
     /// Takes the most recently used connection that has been idle for [`REUSE_DELAY`] and has received
     /// nothing.
-    pub(super) fn take_idle_connection(&self, server: ServerId) -> Option<Http1Connection> {
+    pub(super) fn take_idle_connection(&self, server: &ServerId) -> Option<Http1Connection> {
         let max_idle = self.settings.keepalive.mul_f64(REUSE_FRACTION);
         let mut slots = self.slots.borrow_mut();
-        let slot = slots.get_mut(&server)?;
+        let slot = slots.get_mut(server)?;
         while let Some(index) = slot
             .idle_connections
             .iter()
@@ -74,9 +74,9 @@
 
     /// Stores a connection for reuse. Its idle time is not reset, as the server counts it from the last
     /// request.
-    pub(super) fn store_idle_connection(&self, server: ServerId, connection: Http1Connection) {
+    pub(super) fn store_idle_connection(&self, server: &ServerId, connection: Http1Connection) {
         let mut slots = self.slots.borrow_mut();
-        let Some(slot) = slots.get_mut(&server) else { return };
+        let Some(slot) = slots.get_mut(server) else { return };
         let accepts_requests = slot.draining_since.is_none() && !slot.address_taken;
         if slot.epoch == connection.epoch && accepts_requests && !connection.is_closed() {
             let index =
--- a/crates/node/src/upstream/servers.rs
+++ b/crates/node/src/upstream/servers.rs
@@ -1,7 +1,7 @@
 //! The servers of a pool as the latest lists give them, which of them may be sent requests, and their connections.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 use crate::config::UpstreamSettings;
 use crate::meter::TenantMeter;
 use crate::sockets::SocketBudget;
-use crate::sources::discovery::{server_number, ServerList};
+use crate::sources::discovery::ServerList;
 use crate::upstream::exchange::Http1Connection;
 #[cfg(feature = "hosted")]
 use crate::upstream::http3;
@@ -52,8 +52,6 @@
     pub(super) sockets: Rc<SocketBudget>,
     pub(super) meter: Option<Rc<TenantMeter>>,
     pub(super) slots: RefCell<HashMap<ServerId, ServerSlot>>,
-    /// Ids that the sources give the servers, by the servers' numbers.
-    pub(super) names: RefCell<HashMap<u32, String>>,
     pub(super) last_epoch: Cell<u64>,
     clock: DecisionClock,
     start_times: RefCell<StartTimes>,
@@ -75,7 +73,6 @@
             sockets,
             meter,
             slots: RefCell::default(),
-            names: RefCell::default(),
             last_epoch: Cell::new(0),
             clock,
             start_times: RefCell::new(StartTimes::new(clock)),
@@ -113,14 +110,12 @@
         let initial = self.is_initial_list(list);
         let mut start_times = self.start_times.borrow_mut();
         let mut slots = self.slots.borrow_mut();
-        let mut names = self.names.borrow_mut();
         let mut members = Vec::with_capacity(list.entries.len());
         let mut active = Vec::new();
         for entry in &list.entries {
-            let number = server_number(&entry.id, &names);
-            let server = ServerId(number);
+            let server = ServerId::new(&entry.id);
             let member = |started_at| ListedServer {
-                server,
+                server: server.clone(),
                 zone: zone_id(&entry.zone),
                 cell: CellId(entry.cell),
                 kind: kind_id(&entry.kind),
@@ -129,7 +124,6 @@
                 started_at,
             };
             if entry.state == ServerState::Terminated {
-                names.remove(&number);
                 let removed = slots.remove(&server);
                 members.push(member(removed.as_ref().map_or(0, |slot| slot.started_at)));
                 if let Some(slot) = removed {
@@ -137,12 +131,11 @@
                 }
                 continue;
             }
-            names.insert(number, entry.id.clone());
-            let slot = slots.entry(server).or_insert_with(|| ServerSlot {
+            let slot = slots.entry(server.clone()).or_insert_with(|| ServerSlot {
                 addr: entry.addr,
                 transport: entry.transport.clone(),
                 up_since_ms: entry.up_since_ms,
-                started_at: start_times.start_time(server, entry.up_since_ms, initial),
+                started_at: start_times.start_time(&server, entry.up_since_ms, initial),
                 epoch: self.next_epoch(),
                 idle_connections: Vec::new(),
                 #[cfg(feature = "hosted")]
@@ -151,7 +144,7 @@
                 address_taken: false,
             });
             if slot.up_since_ms != entry.up_since_ms {
-                slot.started_at = start_times.start_time(server, entry.up_since_ms, initial);
+                slot.started_at = start_times.start_time(&server, entry.up_since_ms, initial);
             }
             members.push(member(slot.started_at));
             let same_transport = slot.transport == entry.transport;
@@ -171,7 +164,8 @@
                 slot.idle_connections.clear();
             }
         }
-        let owners: HashMap<SocketAddr, ServerId> = active.into_iter().map(|(id, addr)| (addr, id)).collect();
+        let owners: HashMap<SocketAddr, ServerId> =
+            active.into_iter().map(|(server, addr)| (addr, server)).collect();
         for (server, slot) in slots.iter_mut() {
             if owners.get(&slot.addr).is_some_and(|owner| owner != server) {
                 slot.address_taken = true; // Requests must not reach the server that took over the address.
@@ -179,15 +173,14 @@
             }
         }
         if list.complete {
-            let listed: std::collections::HashSet<ServerId> = members.iter().map(|m| m.server).collect();
+            let listed: HashSet<&ServerId> = members.iter().map(|member| &member.server).collect();
             slots.retain(|server, slot| {
                 let is_listed = listed.contains(server);
                 if !is_listed {
-                    start_times.record_removal(*server, slot.up_since_ms, slot.started_at);
+                    start_times.record_removal(server.clone(), slot.up_since_ms, slot.started_at);
                 }
                 is_listed
             });
-            names.retain(|&number, _| listed.contains(&ServerId(number)));
             return (SyncKind::Full, members);
         }
         (SyncKind::Delta, members)
@@ -195,8 +188,8 @@
 
     /// Whether a list shows servers that were up before this process.
     fn is_initial_list(&self, list: &ServerList) -> bool {
-        let (slots, names) = (self.slots.borrow(), self.names.borrow());
-        let is_unknown = |id: &str| !slots.contains_key(&ServerId(server_number(id, &names)));
+        let slots = self.slots.borrow();
+        let is_unknown = |id: &str| !slots.contains_key(&ServerId::new(id));
         let unknown = list.entries.iter().filter(|entry| is_unknown(&entry.id)).count();
         self.start_times.borrow_mut().is_initial_list(list.complete, list.entries.len(), unknown)
     }
@@ -208,31 +201,26 @@
 
     /// Address and epoch of a server; `None` if it may not be sent requests because it was removed, has drained for
     /// too long or lost its address to another server. Checked for requests that waited for a connection.
-    pub(super) fn eligible_addr(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
+    pub(super) fn eligible_addr(&self, server: &ServerId) -> Option<(SocketAddr, u64)> {
         let slots = self.slots.borrow();
-        let slot = slots.get(&server)?;
+        let slot = slots.get(server)?;
         let grace_expired = slot.draining_since.is_some_and(|since| since.elapsed() > self.send_grace());
         (!grace_expired && !slot.address_taken).then_some((slot.addr, slot.epoch))
     }
 
-    /// The id that a source gives the server.
-    pub fn server_name(&self, server: ServerId) -> String {
-        self.names.borrow().get(&server.0).cloned().unwrap_or_else(|| "a removed server".to_owned())
-    }
-
     /// Current status of each server, ordered by the ids that the sources give them.
     pub fn server_statuses(&self) -> Vec<(ServerId, ServerStatus)> {
-        let (slots, names) = (self.slots.borrow(), self.names.borrow());
+        let slots = self.slots.borrow();
         let status = |(server, slot): (&ServerId, &ServerSlot)| {
             let status = ServerStatus {
-                id: names.get(&server.0).cloned().unwrap_or_default(),
+                id: server.name().to_owned(),
                 addr: slot.addr,
                 attempts_in_flight: 0,
                 ejected: false,
                 in_service: slot.draining_since.is_none() && !slot.address_taken,
                 idle_connections: slot.idle_connections.len(),
             };
-            (*server, status)
+            (server.clone(), status)
         };
         let mut statuses: Vec<(ServerId, ServerStatus)> = slots.iter().map(status).collect();
         statuses.sort_by(|(_, a), (_, b)| a.id.cmp(&b.id));
@@ -246,5 +234,7 @@
     }
 }
 
+#[cfg(test)]
+mod identity_tests;
 #[cfg(test)]
 pub(super) mod tests;
