Let only QUIC connections give way to those that lack memory for HTTP/3

What callers saw: connections over HTTP/1.1, idle or slow, were closed for connections over HTTP/3 that were refused all the same.

An HTTP/1.1 connection holds none of that memory, so its end helped nobody.

Evidence: lack_of_memory_for_http3_closes_no_connection_over_http1 fails without this change: an idle connection over HTTP/1.1 is closed while four requests over HTTP/3 hold all of the memory.

Change: a connection knows whether it is a QUIC connection, and a lack of memory for HTTP/3 evicts among these alone. A lack of places evicts among all, as before.

--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -55,6 +55,8 @@
     pub tenant_permit: RefCell<Option<(Uid, RequestPermit)>>,
     /// The permit of the latest request with a response, held until the system has the whole response.
     response_permit: RefCell<Option<RequestPermit>>,
+    /// Whether it is a QUIC connection.
+    is_quic: Cell<bool>,
     /// Tracks the `Content-Length` fields received on the connection.
     pub content_lengths: ContentLengthTracker,
     /// The client at the other end.
@@ -80,11 +82,23 @@
             first_request_deadline: Cell::new(now + first_request_timeout),
             tenant_permit: RefCell::default(),
             response_permit: RefCell::default(),
+            is_quic: Cell::new(false),
             content_lengths: ContentLengthTracker::default(),
             identity: Cell::new(identity),
         })
     }
 
+    /// Records that it is a QUIC connection, which holds memory for HTTP/3.
+    #[cfg(feature = "hosted")]
+    pub fn set_quic(&self) {
+        self.is_quic.set(true);
+    }
+
+    /// Whether it is a QUIC connection.
+    pub fn is_quic(&self) -> bool {
+        self.is_quic.get()
+    }
+
     /// Records that a TLS or QUIC handshake begins, which precedes the first request.
     #[cfg(feature = "hosted")]
     pub fn start_handshake(&self) {
--- a/crates/node/src/front/connection_limits.rs
+++ b/crates/node/src/front/connection_limits.rs
@@ -110,6 +110,11 @@
     /// for long, or any idle one of a tenant with more connections than its share. Returns whether there was
     /// one.
     pub(super) fn evict_connection(&self) -> bool {
+        self.evict_connection_where(|_| true)
+    }
+
+    /// Like [`ConnectionManager::evict_connection`], among the connections that match.
+    pub(super) fn evict_connection_where(&self, matches: impl Fn(&ClientConnection) -> bool) -> bool {
         let connections = self.connections.borrow();
         let score = |conn: &ClientConnection| match (conn.tenant(), conn.idle_duration()) {
             (Some(uid), Some(idle)) if self.directory.exceeds_connection_share(uid) => {
@@ -117,8 +122,8 @@
             }
             _ => conn.eviction_score(),
         };
-        let most_dispensable =
-            connections.values().map(|conn| (score(conn), conn)).max_by(|a, b| a.0.total_cmp(&b.0));
+        let candidates = connections.values().filter(|conn| matches(conn));
+        let most_dispensable = candidates.map(|conn| (score(conn), conn)).max_by(|a, b| a.0.total_cmp(&b.0));
         most_dispensable
             .filter(|(score, _)| *score >= 1.0)
             .inspect(|(_, conn)| conn.request_close(true))
--- a/crates/node/src/front/http3.rs
+++ b/crates/node/src/front/http3.rs
@@ -72,11 +72,14 @@
     async fn acquire_http3_permits(&self) -> Option<ConnectionPermits> {
         for _ in 0..MAX_HANDOVER_WAITS {
             let memory = self.http3_memory.acquire_connection();
+            let lacks_memory = memory.is_none();
             if let Some(permits) = self.connection_budget.try_acquire().zip(memory) {
                 return Some((permits.0, Some(permits.1)));
             }
-            if !self.evict_connection()
-                && !self.connections.borrow().values().any(|conn| conn.closes_immediately())
+            // Only the end of another QUIC connection frees memory for this one.
+            let is_of_use = |conn: &ClientConnection| !lacks_memory || conn.is_quic();
+            let is_closing = |conn: &Rc<ClientConnection>| is_of_use(conn) && conn.closes_immediately();
+            if !self.evict_connection_where(is_of_use) && !self.connections.borrow().values().any(is_closing)
             {
                 return None;
             }
@@ -90,6 +93,7 @@
         let Some(permits) = self.acquire_http3_permits().await else { return incoming.refuse() };
         let client = ClientIdentity::from_address(incoming.remote_address());
         let conn = ClientConnection::new(REQUEST_READ_TIMEOUT, client);
+        conn.set_quic();
         conn.start_handshake();
         let registered = self.register_connection(conn.clone(), permits);
         let connected = tokio::select! {
