--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -9,6 +9,12 @@
 
 pub const SECOND: Micros = 1_000_000;
 
+/// Indices of the classes of [`settings`].
+pub const SAFE: usize = 0;
+pub const UNSAFE: usize = 1;
+pub const KEYED_CELL: usize = 2;
+pub const KEYED_ALL: usize = 3;
+
 pub fn request_class(semantics: Semantics) -> RequestClass {
     RequestClass {
         target_latency: 500_000,
@@ -152,3 +158,19 @@
 pub fn is_failed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail { .. }))
 }
+
+/// Sends `count` requests within a second, ends their attempts with the outcome after `elapsed`, and returns
+/// how many requests were refused.
+pub fn simulate_second(node: &mut Node, base: u64, count: u64, outcome: Outcome, elapsed: Micros) -> u64 {
+    let mut refusals = 0;
+    for n in base..base + count {
+        node.now += SECOND / count;
+        match sent_to(&node.send_request(n, UNSAFE, n)) {
+            Some(server) => {
+                node.close_attempt_after(n, 0, &server, outcome, elapsed);
+            }
+            None => refusals += 1,
+        }
+    }
+    refusals
+}
--- a/crates/decisions/tests/connect_timeouts.rs
+++ b/crates/decisions/tests/connect_timeouts.rs
@@ -5,8 +5,6 @@
 use common::*;
 use woodgap_decisions::*;
 
-const SAFE: usize = 0;
-
 fn time_out_connect(node: &mut Node, n: u64, server: &ServerId) -> Vec<Action> {
     let elapsed = settings().connect_timeout;
     node.close_attempt_after(n, 0, server, Outcome::ConnectFailed, elapsed)
--- a/crates/decisions/tests/dedup_windows.rs
+++ b/crates/decisions/tests/dedup_windows.rs
@@ -5,7 +5,6 @@
 use common::*;
 use woodgap_decisions::*;
 
-const KEYED_CELL: usize = 2;
 const MILLI: Micros = 1_000;
 
 fn timeout_of(actions: &[Action]) -> Option<Micros> {
--- a/crates/decisions/tests/server_identity.rs
+++ b/crates/decisions/tests/server_identity.rs
@@ -9,7 +9,6 @@
 use woodgap_decisions::brain::build_table;
 use woodgap_decisions::*;
 
-const SAFE: usize = 0;
 /// Number of different hashes of the servers, few enough that each is the hash of several.
 const HASHES: u32 = 2;
 const SERVERS: u32 = 8;
